--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,15 +28,17 @@
 
 const (
 	// minInterval is the time between two datagrams to each peer in a small
-	// region. An engine prefills about eight prompts in it.
-	minInterval = 25 * time.Millisecond
+	// region. An engine prefills about one prompt in it; at 25 ms, VMs that choose at
+	// the same time were further off with their predictions.
+	minInterval = 10 * time.Millisecond
 	// collectedInterval is the same where a collector tells of its zone.
 	collectedInterval = 40 * time.Millisecond
 	// maxDatagrams bounds the datagrams that one VM sends a second; with many
 	// peers or endpoints rounds come more seldom.
 	maxDatagrams = 2000
-	// quietFactor is how much more seldom a VM without any work sends.
-	quietFactor = 8
+	// quietInterval is how often a VM without any work gives a sign of life. Three of
+	// them fit into TTL.
+	quietInterval = 200 * time.Millisecond
 )
 
 // Hash names an endpoint or a part of a prompt in datagrams.
@@ -139,10 +142,10 @@
 
 // send tells the others, round after round.
 func (x *Exchange) send(ctx context.Context, conn *net.UDPConn) {
-	idle := 0
+	var q quiet
 	for loop.Sleep(ctx, x.interval()) {
 		datagrams := 0
-		for _, m := range x.messages(&idle) {
+		for _, m := range x.messages(&q) {
 			datagrams += x.tell(conn, m)
 		}
 		x.noteRound(datagrams)
@@ -151,23 +154,34 @@
 
 // messages returns what to tell this round: nothing while there is no work, but for
 // a first round that tells that it ended, and a sign of life now and then.
-func (x *Exchange) messages(idle *int) []message {
+func (x *Exchange) messages(q *quiet) []message {
 	own := x.cfg.Own()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	list := x.region.messages(time.Now(), own)
-	for _, m := range list {
-		if !m.report.empty() {
-			*idle = 0
-			return list
-		}
-	}
-	if *idle++; *idle > 1 && *idle%quietFactor != 0 {
+	busy := slices.ContainsFunc(list, func(m message) bool { return !m.report.empty() })
+	if !q.tell(time.Now(), busy) {
 		return nil
 	}
 	return list
 }
 
+// quiet thins out the rounds of a VM that has nothing to tell.
+type quiet struct {
+	// idle is set once it was told that there is nothing, told when that was.
+	idle bool
+	told time.Time
+}
+
+// tell says whether a round is to be told.
+func (q *quiet) tell(now time.Time, busy bool) bool {
+	if !busy && q.idle && now.Sub(q.told) < quietInterval {
+		return false
+	}
+	q.idle, q.told = !busy, now
+	return true
+}
+
 // interval is the time between two rounds.
 func (x *Exchange) interval() time.Duration {
 	x.mu.Lock()
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -14,25 +14,31 @@
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
-// listener is a VM that notes what it hears.
+// listener is a VM that notes what it hears. Like the product it forgets what was not
+// told again within TTL.
 type listener struct {
 	mu    sync.Mutex
-	heard map[string]*sharepb.Load
+	heard map[string]heardLoad
 	times int
 	own   Report
 }
 
+type heardLoad struct {
+	*sharepb.Load
+	at time.Time
+}
+
 func (l *listener) take(load *sharepb.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.heard == nil {
-		l.heard = map[string]*sharepb.Load{}
+		l.heard = map[string]heardLoad{}
 	}
 	from := load.Vm
 	if load.ZoneSum {
 		from = "zone " + load.Zone
 	}
-	l.heard[fmt.Sprint(from, load.Segment)] = load
+	l.heard[fmt.Sprint(from, load.Segment)] = heardLoad{load, time.Now()}
 	l.times++
 }
 
@@ -42,6 +48,9 @@
 	defer l.mu.Unlock()
 	runs := map[uint32]int{}
 	for _, load := range l.heard {
+		if time.Since(load.at) > TTL {
+			continue
+		}
 		for _, w := range load.Work {
 			runs[w.Endpoint] += int(w.Runs)
 		}
@@ -146,12 +155,7 @@
 					strongest = n
 				}
 			}
-			strongest.stop()
-			for _, n := range nodes {
-				n.mu.Lock()
-				n.heard = nil
-				n.mu.Unlock()
-			}
+			strongest.stop() // its last datagrams may still be on their way
 			for _, n := range nodes {
 				if n != strongest {
 					eventually(t, n.peer.Name+" to hear of the others", func() bool {
--- a/placement/decoder.go
+++ b/placement/decoder.go
@@ -28,11 +28,14 @@
 // are looked at too.
 const crowded = 50 * time.Millisecond
 
+// importer is the best of a few of the engines to import tokens from another. What an
+// engine prefills itself goes before the first step of an import.
 func (d *decision) importer(from *directory.Endpoint, engines []*directory.Endpoint, tokens int) option {
 	var best option
 	for _, e := range d.drawn(engines) {
-		open := d.p.books.open(d.engineBook(e))
-		first := d.sendTime() + d.wayTo(e) + d.moveTime(from, e, tokens) + d.decodeWait(e, open, tokens)
+		k := d.engineBook(e)
+		open := d.p.books.open(k)
+		first := d.sendTime() + d.wayTo(e) + d.moveTime(from, e, tokens) + k.speed.time(open.prefillTokens) + d.decodeWait(e, open, tokens)
 		best = sooner(best, option{serve: e, first: first})
 	}
 	return best
