Split eight large files into one job each, and name the choice of a zone's engines once

Change: declarations moved as they stand, none edited; inZone in package placement stands for two copies of the same filter. No behaviour changes.

Run: build, vet, tests of rolechange, internal/h1, platform, placement, order, fleet, contact, health.

--- a/contact/keeper.go
+++ b/contact/keeper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -210,57 +208,6 @@
 	return nil
 }
 
-// probe asks the VMs in doubt, or all of them when their turn has come or one
-// is about to be shunned. The answers of the others stand meanwhile: they only
-// guard against shunning by a keeper that is itself cut off, and no safety
-// rests on their age. A VM that is about to be dropped is not asked: it is
-// dropped whether it answers or not, and waiting for it would hold that up.
-func (k *Keeper) probe(ctx context.Context, r Roster) {
-	ask := k.inDoubt(r)
-	turn := time.Duration(len(r.VMs)) * probeSpacing
-	if time.Since(k.probed) >= turn || k.oneSilent(r) {
-		k.probed = time.Now()
-		ask = r.VMs
-	}
-	settled := k.settled(r)
-	ask = slices.DeleteFunc(slices.Clone(ask), func(vm VM) bool { return settled[vm.Name] })
-	acks := Collect(ctx, ask, k.peers.Probe)
-	for _, vm := range ask {
-		delete(k.acks, vm.Name)
-	}
-	maps.Copy(k.acks, acks)
-}
-
-// oneSilent tells that a single VM was silent in an earlier round, and can be
-// shunned if it still is. With two, no shunning can follow (see shunSilent).
-func (k *Keeper) oneSilent(r Roster) bool {
-	silent, can := 0, false
-	for _, vm := range r.VMs {
-		if _, is := k.silentSince[vm.Name]; is {
-			silent++
-			can = vm.Lapse && !vm.Shunned()
-		}
-	}
-	return silent == 1 && can
-}
-
-// inDoubt returns the VMs that did not answer, are shunned, are suspected, or
-// have yet to follow the lapse rule.
-func (k *Keeper) inDoubt(r Roster) []VM {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var vms []VM
-	for _, vm := range r.VMs {
-		_, answered := k.acks[vm.Name]
-		unruled := !vm.Lapse && r.RuledSince != 0
-		if !answered || vm.Shunned() || unruled || k.suspects[vm.Name] {
-			vms = append(vms, vm)
-		}
-	}
-	clear(k.suspects)
-	return vms
-}
-
 // Sweep drops VMs that are gone for good from the rosters of all other zones,
 // which may have nobody left to keep them.
 func (k *Keeper) Sweep(ctx context.Context) error {
@@ -302,27 +249,3 @@
 	}
 	return names
 }
-
-// noteSilent notes which VMs did not answer probes that began at asked.
-func (k *Keeper) noteSilent(r Roster, asked time.Time) {
-	since := map[string]time.Time{}
-	for _, vm := range r.VMs {
-		if _, answered := k.acks[vm.Name]; answered {
-			continue
-		}
-		since[vm.Name] = asked
-		if earlier, known := k.silentSince[vm.Name]; known {
-			since[vm.Name] = earlier
-		}
-	}
-	k.silentSince = since
-}
-
-// silent returns how long each silent VM has not answered.
-func (k *Keeper) silent(now time.Time) map[string]time.Duration {
-	silent := map[string]time.Duration{}
-	for name, since := range k.silentSince {
-		silent[name] = now.Sub(since)
-	}
-	return silent
-}
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -255,57 +255,6 @@
 	}
 }
 
-// Spilled counts prompt tokens sent to another zone against its room.
-func (s *Store) Spilled(zone string, promptTokens int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next := *s.Snapshot()
-	next.Zones = slices.Clone(next.Zones)
-	for i := range next.Zones {
-		if next.Zones[i].Zone == zone {
-			next.Zones[i].Sent += promptTokens
-		}
-	}
-	s.snapshot.Store(&next)
-}
-
-// Reserve records work that is about to be sent, so that the next decision sees
-// it. An endpoint that was dropped meanwhile has no book and is ignored.
-func (s *Store) Reserve(now time.Duration, r Reservation) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.slots[r.Endpoint]; !ok {
-		return
-	}
-	s.ledger.Reserve(now, r)
-	s.refresh(now, r.Endpoint)
-}
-
-// Prefilled records that an attempt's prompt is computed (its first token came),
-// so that it no longer counts as waiting for prefill. While reports are stale
-// nothing else tells so before the whole answer is done.
-func (s *Store) Prefilled(now time.Duration, endpoint, attempt string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger.Prefilled(endpoint, attempt)
-	s.refresh(now, endpoint)
-}
-
-// Release ends a reservation.
-func (s *Store) Release(now time.Duration, endpoint, attempt string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger.Release(endpoint, attempt)
-	s.refresh(now, endpoint)
-}
-
-func (s *Store) refresh(now time.Duration, endpoint string) {
-	if e := s.copyOf(endpoint); e != nil {
-		e.Own = s.ledger.Own(now, endpoint)
-		s.publish(e)
-	}
-}
-
 // at returns the endpoint as it is, or nil.
 func (s *Store) at(endpoint string) *Endpoint {
 	slot, ok := s.slots[endpoint]
--- /dev/null
+++ b/internal/h1/errors.go
@@ -0,0 +1,65 @@
+package h1
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/springweir/springweir/failure"
+)
+
+// Error is an exchange that failed before the answer's head was read.
+type Error struct {
+	// Sent is false only if certainly no byte of the request left this process.
+	Sent bool
+	// Reused tells that the request went out on a kept connection.
+	Reused bool
+	Cause  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("exchange broke after sending: %v", e.Cause)
+	}
+	return fmt.Sprintf("request not sent: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Reason implements failure.Coded.
+func (e *Error) Reason() failure.Reason {
+	if e.Sent {
+		return failure.EndpointBroke
+	}
+	return failure.EndpointUnreachable
+}
+
+// StrayAnswerError is the cause of an exchange that got only answers of other requests.
+type StrayAnswerError struct{ Status int }
+
+// Error implements error.
+func (e *StrayAnswerError) Error() string {
+	return "the answer belongs to another request (status " + strconv.Itoa(e.Status) + ")"
+}
+
+// Reason implements failure.Coded.
+func (e *StrayAnswerError) Reason() failure.Reason { return failure.AnswerMismatch }
+
+// unwrittenError is a write that failed before its first byte.
+type unwrittenError struct{ cause error }
+
+// Error implements error.
+func (e *unwrittenError) Error() string { return fmt.Sprintf("nothing was written: %v", e.cause) }
+
+// Unwrap returns the cause.
+func (e *unwrittenError) Unwrap() error { return e.cause }
+
+// TooLongError is a body over the limit of its reader.
+type TooLongError struct{ Limit int64 }
+
+// Error implements error.
+func (e *TooLongError) Error() string { return fmt.Sprintf("the answer is over %d bytes", e.Limit) }
+
+// Reason implements failure.Coded.
+func (e *TooLongError) Reason() failure.Reason { return failure.EndpointFailed }
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,8 +12,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/springweir/springweir/failure"
 )
 
 // Request is one request as it is written. Header must hold no field that frames
@@ -39,58 +36,6 @@
 // NewConnection as a Request's MaxIdle always opens a new connection.
 const NewConnection time.Duration = -1
 
-// Error is an exchange that failed before the answer's head was read.
-type Error struct {
-	// Sent is false only if certainly no byte of the request left this process.
-	Sent bool
-	// Reused tells that the request went out on a kept connection.
-	Reused bool
-	Cause  error
-}
-
-// Error implements error.
-func (e *Error) Error() string {
-	if e.Sent {
-		return fmt.Sprintf("exchange broke after sending: %v", e.Cause)
-	}
-	return fmt.Sprintf("request not sent: %v", e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Cause }
-
-// Reason implements failure.Coded.
-func (e *Error) Reason() failure.Reason {
-	if e.Sent {
-		return failure.EndpointBroke
-	}
-	return failure.EndpointUnreachable
-}
-
-// StrayAnswerError is the cause of an exchange that got only answers of other requests.
-type StrayAnswerError struct{ Status int }
-
-// Error implements error.
-func (e *StrayAnswerError) Error() string {
-	return "the answer belongs to another request (status " + strconv.Itoa(e.Status) + ")"
-}
-
-// Reason implements failure.Coded.
-func (e *StrayAnswerError) Reason() failure.Reason { return failure.AnswerMismatch }
-
-// Answer is an answer whose head was read. Close must be called once.
-type Answer struct {
-	Status int
-	Header http.Header
-	// Length is the length of the body, or -1 when its end shows it.
-	Length int64
-
-	body    io.Reader
-	ended   bool
-	closing bool
-	ex      *exchange
-}
-
 // exchange is one request and its answer on one connection.
 type exchange struct {
 	pool  *Pool
@@ -161,15 +106,6 @@
 	return c, false, err
 }
 
-// unwrittenError is a write that failed before its first byte.
-type unwrittenError struct{ cause error }
-
-// Error implements error.
-func (e *unwrittenError) Error() string { return fmt.Sprintf("nothing was written: %v", e.cause) }
-
-// Unwrap returns the cause.
-func (e *unwrittenError) Unwrap() error { return e.cause }
-
 // write sends the head, and the body beside the reading of the answer, since a
 // server may answer before it has read the body.
 func (ex *exchange) write(r *Request) error {
@@ -254,58 +190,6 @@
 	}, nil
 }
 
-// Read implements io.Reader. It returns io.EOF only at the true end of the body.
-func (a *Answer) Read(b []byte) (int, error) {
-	n, err := a.body.Read(b)
-	if err == io.EOF {
-		a.ended = true
-	}
-	return n, err
-}
-
-// TooLongError is a body over the limit of its reader.
-type TooLongError struct{ Limit int64 }
-
-// Error implements error.
-func (e *TooLongError) Error() string { return fmt.Sprintf("the answer is over %d bytes", e.Limit) }
-
-// Reason implements failure.Coded.
-func (e *TooLongError) Reason() failure.Reason { return failure.EndpointFailed }
-
-// ReadAll reads the body to its end. One of more than limit bytes gives *TooLongError.
-func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, &TooLongError{Limit: limit}
-	}
-	return body, err
-}
-
-// Closing tells that the server ends the connection after this answer.
-func (a *Answer) Closing() bool { return a.closing }
-
-// Close ends the exchange. The connection is kept if the answer was read to its
-// end and nothing else came; otherwise it is closed, which tells the server to
-// drop the request.
-func (a *Answer) Close() {
-	a.ex.once.Do(func() {
-		if !a.reusable() {
-			a.ex.drop()
-			return
-		}
-		a.ex.conn.keep = keepAlive(a.Header, a.ex.pool.opts.MaxIdleTime)
-		a.ex.pool.put(a.ex.conn)
-	})
-}
-
-func (a *Answer) reusable() bool {
-	ended := a.ended || a.Length == 0
-	if !ended || a.closing || a.ex.conn.reader.Buffered() > 0 {
-		return false
-	}
-	return a.ex.stop() && a.ex.written()
-}
-
 // written tells whether the whole body was sent. A server that answers sooner
 // leaves the rest unread, so the connection cannot be used again.
 func (ex *exchange) written() bool {
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -41,6 +41,18 @@
 	return good
 }
 
+// inZone returns those of the engines that are in an availability zone, as a slice of
+// its own.
+func inZone(engines []*directory.Endpoint, zone string) []*directory.Endpoint {
+	var list []*directory.Endpoint
+	for _, e := range engines {
+		if e.Zone == zone {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // drawn returns a few of the engines at random: when every VM looks for the
 // least loaded of all, those that look at the same moment find the same one.
 func (d *decision) drawn(engines []*directory.Endpoint) []*directory.Endpoint {
--- a/placement/decoder.go
+++ b/placement/decoder.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -16,8 +15,7 @@
 // long and less dear.
 func (d *decision) decoder(from *directory.Endpoint, tokens int) option {
 	engines := d.role(engine.Decode)
-	near := slices.DeleteFunc(slices.Clone(engines), func(e *directory.Endpoint) bool { return e.Zone != from.Zone })
-	best := d.importer(from, near, tokens)
+	best := d.importer(from, inZone(engines, from.Zone), tokens)
 	if best.serve != nil && best.first < crowded {
 		return best
 	}
--- a/placement/engines.go
+++ b/placement/engines.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -80,8 +79,7 @@
 // if these are crowded, and of those that hold more of the prompt, wherever they are.
 func (d *decision) reader(chunks []chunk, tokens int) option {
 	engines := d.role(engine.Prefill)
-	near := slices.DeleteFunc(slices.Clone(engines), func(e *directory.Endpoint) bool { return e.Zone != d.p.zone })
-	best := d.first(near, chunks, tokens)
+	best := d.first(inZone(engines, d.p.zone), chunks, tokens)
 	best = sooner(best, d.bestHolder(engines, chunks, tokens, best))
 	if best.serve != nil && best.first < d.inTime()/2 {
 		return best
--- /dev/null
+++ b/rolechange/order.go
@@ -0,0 +1,90 @@
+package rolechange
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/lease"
+)
+
+// change is an order under way.
+type change struct {
+	to    engine.Role
+	since time.Time
+}
+
+// Changing returns the engines that were ordered to change and have not done so.
+// That holds also after the lease was lost: the engines change all the same.
+func (k *Keeper) Changing() []string {
+	k.settle()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ids := make([]string, 0, len(k.changing))
+	for id := range k.changing {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// settle forgets changes that were carried out, whose engine is gone, or that
+// take too long.
+func (k *Keeper) settle() {
+	s := k.cfg.Directory.Snapshot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, c := range k.changing {
+		e := s.Endpoint(id)
+		switch {
+		case e == nil, e.Role == c.to:
+			klog.InfoS("rolechange: change settled", "endpoint", id, "role", c.to, "took", time.Since(c.since), "gone", e == nil)
+			delete(k.changing, id)
+		case time.Since(c.since) > changeTimeout:
+			klog.InfoS("rolechange: change not seen in time, to be looked at anew", "endpoint", id, "role", c.to)
+			delete(k.changing, id)
+		}
+	}
+}
+
+// order reads an engine's state and sends it one order.
+func (k *Keeper) order(ctx context.Context, l *lease.Lease, e *directory.Endpoint, to engine.Role) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	state, err := k.cfg.Engines.State(ctx, e)
+	if err != nil {
+		klog.InfoS("rolechange: engine not asked, nothing ordered", "endpoint", e.ID, "err", err)
+		k.drop(e.ID)
+		return
+	}
+	if state.Busy || state.Role == to {
+		return // its registration lags, or another order is under way
+	}
+	authority, err := l.Authority()
+	if err != nil || authority.Remaining() < callTimeout {
+		k.drop(e.ID)
+		return
+	}
+	err = k.cfg.Engines.ChangeRole(ctx, e, Order{Role: to, Holder: k.cfg.VM, Fence: authority.Fence, Taken: state.Taken})
+	klog.InfoS("rolechange: ordered", "endpoint", e.ID, "zone", e.Zone, "from", state.Role, "to", to,
+		"fence", authority.Fence, "taken", state.Taken, "err", err)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		k.drop(e.ID)
+	}
+}
+
+func (k *Keeper) note(id string, to engine.Role) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.changing[id] = change{to: to, since: time.Now()}
+}
+
+func (k *Keeper) drop(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.changing, id)
+}
