Take back the prefills of engines that decode: the longest answers missed their deadlines

An answer of 90 events lasts up to 15 s, its deadline; a step that also prefills takes several times as long, so with up to 4,500 tokens of prefill open at the engine the longest answers run out of time.

Change: the limit is 1,500 tokens again.

Test: placement.TestStreamsAreNotHeldUpByLongPrefills fails before.

--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -16,19 +16,19 @@
 	}})
 }
 
-// While the engines that only prefill are crowded, one that decodes helps them, but
-// not one with many requests: each step that prefills holds these up.
-func TestLightEnginesThatDecodeHelpToPrefill(t *testing.T) {
+// However crowded the engines are that only prefill, one that decodes is given no more
+// than a little prefill: it would hold up all streams there, and the longest answers
+// would miss their deadlines.
+func TestStreamsAreNotHeldUpByLongPrefills(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		runs   uint32
-		open   uint32
-		direct bool
+		name         string
+		tokens       int
+		open         uint32
+		prefillsSelf bool
 	}{
-		{"idle", 0, 0, true},
-		{"few requests", 1, 0, true},
-		{"half of its slots taken", 2, 0, false},
-		{"few requests, but much prefill already", 1, 2000, false},
+		{"a short prompt", 1000, 0, true},
+		{"a short prompt behind others", 1000, 1000, false},
+		{"a long prompt", 3000, 0, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			inTime(t, func(t *testing.T, b *bed) {
@@ -36,11 +36,11 @@
 				b.engine("d", "a", engine.Decode)
 				b.done(b.plan(b.chat(), relay.Try{})) // the books of all engines are made
 				b.occupies("p", 0, 20_000)
-				b.occupies("d", tc.runs, tc.open)
+				b.occupies("d", 0, tc.open)
 				r := b.letter("s")
-				r.Prompt.Tokens, r.Prompt.Parts = 3000, r.Prompt.Parts[2:]
-				if p := b.plan(r, relay.Try{}); (p.Prefill == nil) != tc.direct {
-					t.Errorf("prefilled by %v, direct %t wanted", p.Prefill, tc.direct)
+				r.Prompt.Tokens, r.Prompt.Parts = tc.tokens, nil
+				if p := b.plan(r, relay.Try{}); (p.Prefill == nil) != tc.prefillsSelf {
+					t.Errorf("prefilled by %v, by the engine that decodes itself %t wanted", p.Prefill, tc.prefillsSelf)
 				}
 			})
 		})
--- a/placement/tuning.go
+++ b/placement/tuning.go
@@ -26,9 +26,6 @@
 	// DirectTokens is the most prefill that may be open at an engine that decodes
 	// when it is given a prompt to prefill itself: it slows all streams there.
 	DirectTokens int
-	// LightDirectTokens is the same at one that has few requests. Of 3,000, 4,500 and
-	// 7,500, the second served most (docs/design/platform.md).
-	LightDirectTokens int
 	// Choices is the number of engines looked at for one request.
 	Choices int
 	// MaxKV is the part of an engine's cache memory that open requests may take.
@@ -48,16 +45,15 @@
 	h.MaxEjection = 8 * time.Second
 	h.TrialTimeout = 3 * time.Second
 	return Tuning{
-		NearTrip:          time.Millisecond,
-		FarTrip:           4 * time.Millisecond,
-		ServiceTime:       30 * time.Millisecond,
-		ComeBack:          100 * time.Millisecond,
-		InTime:            0.9,
-		Overhead:          15 * time.Millisecond,
-		DirectTokens:      1500,
-		LightDirectTokens: 4500,
-		Choices:           3,
-		MaxKV:             0.8,
-		Health:            h,
+		NearTrip:     time.Millisecond,
+		FarTrip:      4 * time.Millisecond,
+		ServiceTime:  30 * time.Millisecond,
+		ComeBack:     100 * time.Millisecond,
+		InTime:       0.9,
+		Overhead:     15 * time.Millisecond,
+		DirectTokens: 1500,
+		Choices:      3,
+		MaxKV:        0.8,
+		Health:       h,
 	}
 }
