Predict prefills in one place for engines that decode and engines that do not

Cause: direct and readOn in package placement added up the same five terms; a term added to one would have been missed in the other. Change: prefillOn has them; each caller adds what is its own (the wait for a place in the batch, the rest after a refusal). Looked at and left: the pairs of tests' set-ups (platform/site_test.go, platform/soak), alike in shape only, and errors of h1 and httponce, which say different things.

--- a/placement/engines.go
+++ b/placement/engines.go
@@ -116,13 +116,22 @@
 	return best
 }
 
-// readOn predicts a prefill on one engine.
+// readOn predicts a prefill on one engine that only prefills.
 func (d *decision) readOn(e *directory.Endpoint, chunks []chunk, tokens int) option {
+	o := d.prefillOn(e, chunks, tokens)
+	o.prefill = e
+	o.first += d.rest(d.p.books.of(e))
+	return o
+}
+
+// prefillOn predicts when an engine would have prefilled the prompt, behind what is
+// open there.
+func (d *decision) prefillOn(e *directory.Endpoint, chunks []chunk, tokens int) option {
 	k := d.engineBook(e)
 	reused := d.reuseOn(e, chunks)
 	uncached := max(1, tokens-reused.tokens)
-	first := d.linkWait() + d.sendTime() + d.wayTo(e) + reused.copying + k.speed.time(d.p.books.open(k).prefillTokens+uncached) + d.rest(k)
-	return option{prefill: e, serve: e, copyFrom: reused.copyFrom, uncached: uncached, first: first}
+	first := d.linkWait() + d.sendTime() + d.wayTo(e) + reused.copying + k.speed.time(d.p.books.open(k).prefillTokens+uncached)
+	return option{serve: e, copyFrom: reused.copyFrom, uncached: uncached, first: first}
 }
 
 // inTime is the time within which the first event should be predicted.
