Learn the pace of prefills over tokens and pairs, and refuse only for what waits

Cause: predictions assumed 200 and 80 tokens a millisecond and learned each engine for itself with a weight of 0.05.

Change: one least-squares pace a service and role over a fixed time, tokens and pairs; pairs are told between VMs; the part of a long prefill that should be done is not counted as waiting; what each running request adds only compares engines; a request that would be late on an idle fleet is served late instead of refused; all engines are looked at before a refusal. Decisions take the time and their draws from outside.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,10 @@
 func New(s Settings, p Platform, n network.Network) *Gateway {
 	g := &Gateway{settings: s, platform: p, network: n, state: &state{}, started: time.Now()}
 	g.directory = directory.New(func(old, now *directory.Snapshot) { g.planner.SetEndpoints(old, now) })
-	g.planner = placement.New(s.Zone, g.directory, g.state.config.Load, func() []string { return g.roles.Changing() }, s.Placement)
+	g.planner = placement.New(placement.Config{
+		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
+		Ordered: func() []string { return g.roles.Changing() }, Tuning: s.Placement,
+	})
 	g.budgets = newBudgets(s.Retry)
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Boot: roster.NewBoot()}
 	g.roster = roster.New(p.Rows, self, g.setPeers)
--- a/loadshare/members.go
+++ b/loadshare/members.go
@@ -98,14 +98,17 @@
 // less returns work without a part of it.
 func less(w, part *sharepb.Work) *sharepb.Work {
 	return &sharepb.Work{
-		Endpoint:      w.Endpoint,
-		PrefillTokens: w.PrefillTokens - part.PrefillTokens,
-		Runs:          w.Runs - part.Runs,
-		KvTokens:      w.KvTokens - part.KvTokens,
+		Endpoint:         w.Endpoint,
+		PrefillTokens:    w.PrefillTokens - part.PrefillTokens,
+		PrefillMegaPairs: w.PrefillMegaPairs - part.PrefillMegaPairs,
+		Runs:             w.Runs - part.Runs,
+		KvTokens:         w.KvTokens - part.KvTokens,
 	}
 }
 
-func idle(w *sharepb.Work) bool { return w.PrefillTokens == 0 && w.Runs == 0 && w.KvTokens == 0 }
+func idle(w *sharepb.Work) bool {
+	return w.PrefillTokens == 0 && w.PrefillMegaPairs == 0 && w.Runs == 0 && w.KvTokens == 0
+}
 
 // totals adds up work by endpoint.
 type totals map[uint32]*sharepb.Work
@@ -114,6 +117,7 @@
 	for _, w := range list {
 		sum := t.of(w.Endpoint)
 		sum.PrefillTokens += w.PrefillTokens
+		sum.PrefillMegaPairs += w.PrefillMegaPairs
 		sum.Runs += w.Runs
 		sum.KvTokens += w.KvTokens
 	}
--- a/placement/books.go
+++ b/placement/books.go
@@ -5,27 +5,27 @@
 	"time"
 
 	"github.com/springweir/springweir/directory"
-	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
 // work is an amount of open requests at one endpoint.
 type work struct {
-	// prefillTokens are not yet prefilled, kvTokens are held in its cache memory
-	// for requests that run.
-	prefillTokens, kvTokens int
-	runs                    int
+	// prefill is not yet done, kvTokens are held in its cache memory for requests
+	// that run.
+	prefill  amount
+	kvTokens int
+	runs     int
 }
 
 func (w *work) add(o work) {
-	w.prefillTokens += o.prefillTokens
+	w.prefill = w.prefill.plus(o.prefill)
 	w.kvTokens += o.kvTokens
 	w.runs += o.runs
 }
 
 func (w *work) sub(o work) {
-	w.prefillTokens -= o.prefillTokens
+	w.prefill = w.prefill.minus(o.prefill)
 	w.kvTokens -= o.kvTokens
 	w.runs -= o.runs
 }
@@ -35,9 +35,10 @@
 	id   string
 	hash uint32
 	own  work
+	// prefilling are the holds whose prefill is not done.
+	prefilling map[*hold]struct{}
 	// cache is nil for an endpoint that is no engine.
 	cache *cacheModel
-	speed speed
 	// restUntil is until when the endpoint is left alone because it refused, and
 	// refusals counts those in a row.
 	restUntil time.Time
@@ -99,17 +100,28 @@
 }
 
 // open is the work of all VMs at an endpoint.
-func (b *books) open(k *book) work {
-	w := k.own
+func (b *books) open(now time.Time, k *book) work {
+	w := k.left(now)
 	w.add(b.others[k.hash])
 	return w
 }
 
+// left is the own work at an endpoint, less the part of each prefill that should be
+// done by now. Without this an engine in the midst of a long prompt looks busier than
+// it is, by up to the whole of it.
+func (k *book) left(now time.Time) work {
+	w := k.own
+	for h := range k.prefilling {
+		w.prefill = w.prefill.minus(h.done(now))
+	}
+	return w
+}
+
 // of returns the book of an endpoint.
 func (b *books) of(e *directory.Endpoint) *book {
 	k := b.byID[e.ID]
 	if k == nil {
-		k = &book{id: e.ID, hash: loadshare.Hash(e.ID), speed: newSpeed(e.Role)}
+		k = &book{id: e.ID, hash: loadshare.Hash(e.ID), prefilling: map[*hold]struct{}{}}
 		b.byID[e.ID] = k
 		b.byHash[k.hash] = k
 	}
@@ -199,8 +211,19 @@
 	return oldest
 }
 
+func toldOf(endpoint uint32, w work) *sharepb.Work {
+	return &sharepb.Work{
+		Endpoint:      endpoint,
+		PrefillTokens: uint32(max(0, w.prefill.tokens)), PrefillMegaPairs: uint32(max(0, w.prefill.megaPairs)),
+		Runs: uint32(max(0, w.runs)), KvTokens: uint32(max(0, w.kvTokens)),
+	}
+}
+
 func workOf(w *sharepb.Work) work {
-	return work{prefillTokens: int(w.PrefillTokens), kvTokens: int(w.KvTokens), runs: int(w.Runs)}
+	return work{
+		prefill:  amount{tokens: int(w.PrefillTokens), megaPairs: int(w.PrefillMegaPairs)},
+		kvTokens: int(w.KvTokens), runs: int(w.Runs),
+	}
 }
 
 func chunksOfPlaced(p *sharepb.Placed) []chunk {
@@ -229,59 +252,14 @@
 }
 
 // told returns the own work, and the prompts placed since the last call.
-func (b *books) told() ([]*sharepb.Work, []*sharepb.Placed) {
+func (b *books) told(now time.Time) ([]*sharepb.Work, []*sharepb.Placed) {
 	var list []*sharepb.Work
 	for _, k := range b.byID {
 		if k.own != (work{}) {
-			list = append(list, &sharepb.Work{
-				Endpoint: k.hash, PrefillTokens: uint32(max(0, k.own.prefillTokens)),
-				Runs: uint32(max(0, k.own.runs)), KvTokens: uint32(max(0, k.own.kvTokens)),
-			})
+			list = append(list, toldOf(k.hash, k.left(now)))
 		}
 	}
 	placed := b.placed
 	b.placed = nil
 	return list, placed
 }
-
-// speed is how fast an engine prefills, as measured from its answers.
-type speed struct {
-	// tokensPerMS is a decaying mean.
-	tokensPerMS float64
-}
-
-const (
-	// startPrefill and startDecode are assumed before anything was measured, in
-	// tokens a millisecond: cautious figures for engines of today.
-	startPrefill = 200
-	startDecode  = 80
-	// speedWeight is the weight of one measurement in the mean.
-	speedWeight = 0.05
-	// minSample is the least amount of tokens that a measurement is taken from;
-	// below it the way there and back decides.
-	minSample = 2000
-	// slowest and fastest bound the mean.
-	slowest, fastest = 10, 4000
-)
-
-func newSpeed(role engine.Role) speed {
-	if role == engine.Prefill {
-		return speed{tokensPerMS: startPrefill}
-	}
-	return speed{tokensPerMS: startDecode}
-}
-
-// time is how long n tokens take.
-func (s *speed) time(n int) time.Duration {
-	return time.Duration(float64(n) / s.tokensPerMS * float64(time.Millisecond))
-}
-
-// learn takes in that n tokens, those ahead included, took elapsed.
-func (s *speed) learn(n int, elapsed time.Duration) {
-	ms := float64(elapsed) / float64(time.Millisecond)
-	if n < minSample || ms <= 0 {
-		return
-	}
-	sample := min(max(float64(n)/ms, slowest), fastest)
-	s.tokensPerMS += speedWeight * (sample - s.tokensPerMS)
-}
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -58,7 +57,7 @@
 func (d *decision) drawn(engines []*directory.Endpoint) []*directory.Endpoint {
 	n := min(len(engines), d.p.tuning.Choices)
 	for i := range n {
-		j := i + rand.IntN(len(engines)-i)
+		j := i + d.p.random.IntN(len(engines)-i)
 		engines[i], engines[j] = engines[j], engines[i]
 	}
 	return engines[:n]
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"math/rand/v2"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -10,8 +10,10 @@
 )
 
 // tooLate refuses a request whose first event is predicted after the route's
-// objective: what is refused at once can come back, and the engines stay free
-// for those that are in time.
+// objective because of what waits before it: what is refused at once can come back,
+// and the engines stay free for those that are in time. A request that would be late
+// on an idle fleet too gains nothing by coming back, so it is served, late; unless it
+// would outlast the time that its caller waits.
 func (d *decision) tooLate(best option) *failure.Request {
 	objective := d.r.Route.Objective
 	if objective == 0 || d.try.Number > 0 {
@@ -19,32 +21,40 @@
 	}
 	predicted := d.now.Sub(d.r.Received) + best.first + d.p.tuning.Overhead
 	limit := d.inTime()
+	if left := d.r.Left(d.r.Received); predicted-best.wait > limit && left > 0 {
+		limit = time.Duration(d.p.tuning.InTime * float64(left))
+	}
 	if predicted <= limit {
 		return nil
 	}
-	late := predicted - limit
-	klog.InfoS("placement: refused", "request", d.r.ID, "predictedMS", predicted.Milliseconds(), "limitMS", limit.Milliseconds(),
+	klog.InfoS("placement: refused", "request", d.r.ID, "predictedMS", predicted.Milliseconds(), "limitMS", limit.Milliseconds(), "waitMS", best.wait.Milliseconds(),
 		"uncached", best.uncached, "endpoint", best.serve.ID, "peers", len(d.p.books.peers), "newsMS", d.p.books.age(d.now).Milliseconds())
 	return &failure.Request{
-		Code: failure.DeadlineUnreachable, Ran: failure.NotRun,
-		RetryAfter: late/2 + rand.N(late+d.p.tuning.ComeBack),
-		Message:    "the engines are too busy to answer in time",
+		Code: failure.DeadlineUnreachable, Ran: failure.NotRun, RetryAfter: d.comeBack(predicted - limit),
+		Message: "the engines are too busy to answer in time",
 	}
 }
 
+// comeBack is when a caller whose request is late by so much should return: once
+// about that much work is done, spread so that callers do not return together.
+func (d *decision) comeBack(late time.Duration) time.Duration {
+	return late/2 + time.Duration(d.p.random.Int64N(int64(late+d.p.tuning.ComeBack)))
+}
+
 // commit reserves what an option needs.
 func (d *decision) commit(o option, chunks []chunk, tokens int) (relay.Plan, *failure.Request) {
 	busy := noEndpoint("the engine is on trial", d.p.tuning.ComeBack)
 	w := &watch{p: d.p, chunks: chunks}
 	serveWork := work{runs: 1, kvTokens: tokens}
 	if o.prefill == nil && d.try.Handle == nil {
-		serveWork.prefillTokens = o.uncached
+		serveWork.prefill = o.toDo()
 	}
 	var ok bool
 	if o.prefill != nil {
-		if w.prefill, ok = d.take(o.prefill, work{prefillTokens: o.uncached, kvTokens: tokens}); !ok {
+		if w.prefill, ok = d.take(o.prefill, work{prefill: o.toDo(), kvTokens: tokens}); !ok {
 			return relay.Plan{}, busy
 		}
+		w.prefill.copied = o.copyFrom != nil
 		d.p.books.place(w.prefill.book, chunks)
 	}
 	if w.serve, ok = d.take(o.serve, serveWork); !ok {
@@ -54,6 +64,7 @@
 		return relay.Plan{}, busy
 	}
 	if o.prefill == nil && d.try.Handle == nil {
+		w.serve.copied = o.copyFrom != nil
 		d.p.books.place(w.serve.book, chunks)
 	}
 	d.log(o, w)
@@ -70,6 +81,6 @@
 		prefill, ahead = o.prefill.ID, w.prefill.ahead
 	}
 	klog.InfoS("placement: placed", "request", d.r.ID, "try", d.try.Number, "endpoint", o.serve.ID, "version", o.serve.Version, "prefill", prefill, "copyFrom", copyFrom,
-		"predictedMS", o.first.Milliseconds(), "uncached", o.uncached, "aheadTokens", ahead, "running", w.serve.book.own.runs,
+		"predictedMS", o.first.Milliseconds(), "uncached", o.uncached, "aheadTokens", ahead.tokens, "running", w.serve.book.own.runs,
 		"peers", len(d.p.books.peers), "newsMS", d.p.books.age(d.now).Milliseconds(), "tried", d.try.Tried)
 }
--- a/placement/decoder.go
+++ b/placement/decoder.go
@@ -32,9 +32,9 @@
 	var best option
 	for _, e := range d.drawn(engines) {
 		k := d.engineBook(e)
-		open := d.p.books.open(k)
-		first := d.sendTime() + d.wayTo(e) + d.moveTime(from, e, tokens) + k.speed.time(open.prefillTokens) + d.decodeWait(e, open, tokens)
-		best = sooner(best, option{serve: e, first: first})
+		open := d.p.books.open(d.now, k)
+		wait := d.prefillTime(e, open.prefill) + d.decodeWait(e, open, tokens)
+		best = sooner(best, option{serve: e, first: d.sendTime() + d.wayTo(e) + d.moveTime(from, e, tokens) + wait, wait: wait, spread: time.Duration(open.runs) * perRun})
 	}
 	return best
 }
@@ -53,11 +53,10 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// decodeWait is the wait for a place in the batch and for cache memory, and a
-// little for each request that runs there already.
+// decodeWait is the wait for a place in the batch and for cache memory.
 func (d *decision) decodeWait(e *directory.Endpoint, open work, tokens int) time.Duration {
 	spec := d.service.Engine
-	wait := time.Duration(open.runs)*perRun + d.rest(d.p.books.of(e))
+	wait := d.rest(d.p.books.of(e))
 	if open.runs >= max(1, e.Slots) {
 		wait += fullWait
 	}
@@ -68,8 +67,8 @@
 }
 
 const (
-	// perRun is what each running request adds to the time before a first token:
-	// the share of a step that it takes. It mostly spreads requests evenly.
+	// perRun is what each running request counts when engines are compared. It is no
+	// prediction: on engines of steps below a millisecond it would be ten times too much.
 	perRun = 200 * time.Microsecond
 	// fullWait is the assumed wait at an engine without a free place.
 	fullWait = 300 * time.Millisecond
--- a/placement/direct.go
+++ b/placement/direct.go
@@ -1,17 +1,24 @@
 package placement
 
-import "github.com/springweir/springweir/engine"
+import (
+	"time"
+
+	"github.com/springweir/springweir/engine"
+)
 
 // direct is the best engine that prefills and decodes, of a few drawn at random.
 func (d *decision) direct(chunks []chunk, tokens int) option {
 	var best option
 	for _, e := range d.drawn(d.role(engine.Decode)) {
 		o := d.prefillOn(e, chunks, tokens)
-		open := d.p.books.open(d.p.books.of(e))
-		if !d.try.Whole && open.prefillTokens+o.uncached > d.p.tuning.DirectTokens {
+		open := d.p.books.open(d.now, d.p.books.of(e))
+		if !d.try.Whole && open.prefill.tokens+o.uncached > d.p.tuning.DirectTokens {
 			continue
 		}
-		o.first += d.decodeWait(e, open, tokens)
+		wait := d.decodeWait(e, open, tokens)
+		o.first += wait
+		o.wait += wait
+		o.spread = time.Duration(open.runs) * perRun
 		best = sooner(best, o)
 	}
 	return best
--- a/placement/engines.go
+++ b/placement/engines.go
@@ -15,12 +15,19 @@
 	prefill, serve *directory.Endpoint
 	// copyFrom, if set, holds more of the prompt than the engine that prefills.
 	copyFrom *directory.Endpoint
-	// uncached are the tokens that have to be prefilled.
-	uncached int
-	// first is when the first event is predicted, from now.
-	first time.Duration
+	// uncached are the tokens that have to be prefilled, after those that are cached.
+	uncached, cached int
+	// first is when the first event is predicted, from now, and wait the part of it
+	// that is due to other requests.
+	first, wait time.Duration
+	// spread is added to first when options are compared: it draws requests to the
+	// engines that run fewer.
+	spread time.Duration
 }
 
+// toDo is the prefill that the option takes.
+func (o option) toDo() amount { return amountOf(o.uncached, o.cached) }
+
 // planEngine chooses the engines of a generation: one that decodes, and one that
 // prefills for it unless the first does so itself sooner.
 func (d *decision) planEngine() (relay.Plan, *failure.Request) {
@@ -54,7 +61,7 @@
 // sooner returns the option with the earlier first event; one without an
 // endpoint loses.
 func sooner(a, b option) option {
-	if a.serve == nil || b.serve != nil && b.first < a.first {
+	if a.serve == nil || b.serve != nil && b.first+b.spread < a.first+a.spread {
 		return b
 	}
 	return a
@@ -70,8 +77,9 @@
 	if pair.serve == nil {
 		return option{}
 	}
-	pair.prefill, pair.copyFrom, pair.uncached = read.prefill, read.copyFrom, read.uncached
+	pair.prefill, pair.copyFrom, pair.uncached, pair.cached = read.prefill, read.copyFrom, read.uncached, read.cached
 	pair.first += read.first
+	pair.wait += read.wait
 	return pair
 }
 
@@ -84,7 +92,21 @@
 	if best.serve != nil && best.first < d.inTime()/2 {
 		return best
 	}
-	return sooner(best, d.first(engines, chunks, tokens))
+	best = sooner(best, d.first(engines, chunks, tokens))
+	if best.serve != nil && best.first < d.inTime() {
+		return best
+	}
+	return sooner(best, d.anyReader(engines, chunks, tokens))
+}
+
+// anyReader is the best of all engines to prefill. Only a prompt that would come too
+// late otherwise looks at all: what looks at the same moment finds the same one.
+func (d *decision) anyReader(engines []*directory.Endpoint, chunks []chunk, tokens int) option {
+	var best option
+	for _, e := range engines {
+		best = sooner(best, d.readOn(e, chunks, tokens))
+	}
+	return best
 }
 
 // bestHolder is the best of the engines that hold more of the prompt than the choice so
@@ -120,7 +142,9 @@
 func (d *decision) readOn(e *directory.Endpoint, chunks []chunk, tokens int) option {
 	o := d.prefillOn(e, chunks, tokens)
 	o.prefill = e
-	o.first += d.rest(d.p.books.of(e))
+	rest := d.rest(d.p.books.of(e))
+	o.first += rest
+	o.wait += rest
 	return o
 }
 
@@ -130,8 +154,17 @@
 	k := d.engineBook(e)
 	reused := d.reuseOn(e, chunks)
 	uncached := max(1, tokens-reused.tokens)
-	first := d.linkWait() + d.sendTime() + d.wayTo(e) + reused.copying + k.speed.time(d.p.books.open(k).prefillTokens+uncached)
-	return option{serve: e, copyFrom: reused.copyFrom, uncached: uncached, first: first}
+	own := amountOf(uncached, reused.tokens)
+	first := d.linkWait() + d.sendTime() + d.wayTo(e) + reused.copying + d.prefillTime(e, d.p.books.open(d.now, k).prefill.plus(own))
+	return option{
+		serve: e, copyFrom: reused.copyFrom, uncached: uncached, cached: reused.tokens,
+		first: first, wait: d.linkWait() + d.prefillTime(e, d.p.books.open(d.now, k).prefill.plus(own)) - d.prefillTime(e, own),
+	}
+}
+
+// prefillTime predicts how long an engine takes over a prefill.
+func (d *decision) prefillTime(e *directory.Endpoint, a amount) time.Duration {
+	return d.p.paceOf(e.Service, e.Role).time(a)
 }
 
 // inTime is the time within which the first event should be predicted.
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -15,13 +15,44 @@
 	zone   string
 	ticket health.Ticket
 	work   work
+	// pace is that of the endpoint's kind, or nil if it is no engine.
+	pace *pace
 	// ahead is the prefill that was open there when this work joined it.
-	ahead int
-	// since is when the VM's link has sent the request, as predicted.
+	ahead amount
+	// begins is when the engine should begin with this prefill, and takes how long it
+	// should take.
+	begins time.Time
+	takes  time.Duration
+	// copied tells that the engine was to copy a part of the prompt first.
+	copied bool
+	// since is when the VM's link has sent the request, as predicted, and trip the
+	// time there and back.
 	since time.Time
+	trip  time.Duration
 	ended bool
 }
 
+// aheadDoubt multiplies the predicted time of what is ahead of a prefill, and beginDoubt
+// is added, before any of the prefill is taken to be done. What is counted too early as
+// done lets too much in: without them engines whose queues are full of short prompts
+// serve a twentieth less in time.
+const (
+	aheadDoubt = 2
+	beginDoubt = 20 * time.Millisecond
+)
+
+// maxProgress is the most of a prefill that is taken to be done before the engine says
+// so.
+const maxProgress = 0.9
+
+// done is the part of the prefill that the engine should have done by now.
+func (h *hold) done(now time.Time) amount {
+	if h.takes <= 0 || now.Before(h.begins) {
+		return amount{}
+	}
+	return h.work.prefill.times(min(float64(now.Sub(h.begins))/float64(h.takes), maxProgress))
+}
+
 // watch follows one attempt. It implements relay.Watch.
 type watch struct {
 	p *Planner
@@ -47,7 +78,7 @@
 	w.p.mu.Lock()
 	defer w.p.mu.Unlock()
 	w.p.health.Alive(w.serve.ticket)
-	if w.serve.work.prefillTokens > 0 {
+	if w.serve.work.prefill.tokens > 0 {
 		w.p.prefilled(w.serve, nil)
 	} else {
 		// Only now is it certain that the engine holds what it imported.
@@ -70,11 +101,12 @@
 	if h.ended {
 		return
 	}
-	if failed == nil {
-		h.book.speed.learn(h.ahead+h.work.prefillTokens, time.Since(h.since)-p.tuning.FarTrip)
+	if failed == nil && !h.copied {
+		h.pace.learn(h.work.prefill, h.ahead, p.now().Sub(h.since)-h.trip)
 	}
-	h.book.own.prefillTokens -= h.work.prefillTokens
-	h.work.prefillTokens = 0
+	h.book.own.prefill = h.book.own.prefill.minus(h.work.prefill)
+	h.work.prefill = amount{}
+	delete(h.book.prefilling, h)
 }
 
 // end gives a hold back. Giving it back again does nothing.
@@ -84,15 +116,16 @@
 	}
 	h.ended = true
 	h.book.own.sub(h.work)
+	delete(h.book.prefilling, h)
 	switch {
 	case abandoned:
 	case failed == nil:
 		h.book.refusals = 0
 	case failed.Ran == failure.NotRun:
-		h.book.refused(time.Now())
+		h.book.refused(p.now())
 	}
 	result := resultOf(failed, abandoned)
-	p.health.End(time.Since(p.start), h.ticket, result)
+	p.health.End(p.now().Sub(p.start), h.ticket, result)
 	p.watchZone(h, failed, result)
 }
 
@@ -103,7 +136,7 @@
 	case failed == nil, failed.Ran == failure.NotRun && failed.Code != failure.EndpointUnreachable:
 		p.zones.reached(h.zone)
 	case failed.Code == failure.EndpointUnreachable, result == health.Silent:
-		if p.zones.missed(time.Now(), h.zone, h.book.id, p.directory.Snapshot().InZone(h.zone)) {
+		if p.zones.missed(p.now(), h.zone, h.book.id, p.directory.Snapshot().InZone(h.zone)) {
 			klog.InfoS("placement: zone seems cut off", "zone", h.zone, "endpoint", h.book.id, "reason", failed.Code, "for", cutFor)
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -33,7 +33,10 @@
 	}}
 	config.Index()
 	b.dir = directory.New(func(old, now *directory.Snapshot) { b.planner.SetEndpoints(old, now) })
-	b.planner = New("a", b.dir, func() *routes.Config { return config }, func() []string { return b.ordered }, DefaultTuning())
+	b.planner = New(Config{
+		Zone: "a", Directory: b.dir, Routes: func() *routes.Config { return config },
+		Ordered: func() []string { return b.ordered }, Tuning: DefaultTuning(),
+	})
 	return b
 }
 
@@ -260,7 +263,7 @@
 			b.done(p)
 		}
 		b.planner.Heard(&sharepb.Load{Vm: "other"})
-		if own := b.planner.books.open(b.planner.books.byID["p1"]); own != (work{}) {
+		if own := b.planner.books.open(time.Now(), b.planner.books.byID["p1"]); own != (work{}) {
 			t.Errorf("left in the books: %+v", own)
 		}
 		b.planner.Heard(&sharepb.Load{Vm: "other", Work: []*sharepb.Work{{Endpoint: loadshare.Hash("p1"), PrefillTokens: 20_000}}})
@@ -383,24 +386,3 @@
 		t.Errorf("%d tokens held in memory for 100", c.used)
 	}
 }
-
-func TestSpeedIsLearned(t *testing.T) {
-	s := newSpeed(engine.Prefill)
-	for range 200 {
-		s.learn(10_000, 100*time.Millisecond)
-	}
-	if s.tokensPerMS < 99 || s.tokensPerMS > 102 {
-		t.Errorf("learned %.1f tokens a ms, want 100", s.tokensPerMS)
-	}
-	s.learn(100, time.Nanosecond) // too small to tell
-	s.learn(10_000, 0)
-	if s.tokensPerMS > 102 {
-		t.Errorf("learned %.1f from what tells nothing", s.tokensPerMS)
-	}
-	for range 500 {
-		s.learn(1_000_000, time.Millisecond)
-	}
-	if s.tokensPerMS > fastest {
-		t.Errorf("learned %.1f", s.tokensPerMS)
-	}
-}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,25 +27,49 @@
 	zone      string
 	directory *directory.Directory
 	config    func() *routes.Config
-	// ordered names the engines that this VM has ordered to change their role.
-	ordered func() []string
-	tuning  Tuning
-	start   time.Time
-	health  *health.Tracker
+	ordered   func() []string
+	now       func() time.Time
+	random    *rand.Rand
+	start     time.Time
+	health    *health.Tracker
 
 	mu     sync.Mutex
+	tuning Tuning
 	books  *books
+	paces  map[paceKey]*pace
 	zones  *zoneWatch
 	uplink uplink
 }
 
-// New returns a planner for a VM in zone. config returns the configuration in
-// force, ordered the engines that this VM has ordered to change their role.
-func New(zone string, d *directory.Directory, config func() *routes.Config, ordered func() []string, t Tuning) *Planner {
+// Config is what a Planner works with.
+type Config struct {
+	// Zone is the VM's availability zone.
+	Zone      string
+	Directory *directory.Directory
+	// Routes returns the configuration in force.
+	Routes func() *routes.Config
+	// Ordered names the engines that this VM has ordered to change their role.
+	Ordered func() []string
+	Tuning  Tuning
+	// Now and Random are where decisions take the time and their draws from, so that
+	// a load can be replayed on them. Nil is the VM's clock and a seed of its own.
+	Now    func() time.Time
+	Random *rand.Rand
+}
+
+// New returns a planner that knows nothing yet.
+func New(c Config) *Planner {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	return &Planner{
-		zone: zone, directory: d, config: config, ordered: ordered, tuning: t, start: time.Now(),
-		health: health.NewTracker(t.Health), books: newBooks(), zones: newZoneWatch(),
-		uplink: uplink{bitsPerSecond: t.LinkBitsPerSecond},
+		zone: c.Zone, directory: c.Directory, config: c.Routes, ordered: c.Ordered,
+		now: c.Now, random: c.Random, tuning: c.Tuning, start: c.Now(),
+		health: health.NewTracker(c.Tuning.Health), books: newBooks(), paces: map[paceKey]*pace{}, zones: newZoneWatch(),
+		uplink: uplink{bitsPerSecond: c.Tuning.LinkBitsPerSecond},
 	}
 }
 
@@ -76,7 +101,7 @@
 func (p *Planner) Heard(load *sharepb.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.books.heard(time.Now(), load)
+	p.books.heard(p.now(), load)
 }
 
 // Own is what this VM tells the others.
@@ -84,8 +109,8 @@
 	changing := p.changing()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.books.expire(time.Now())
-	work, placed := p.books.told()
+	p.books.expire(p.now())
+	work, placed := p.books.told(p.now())
 	return loadshare.Report{Work: work, Placed: placed, Changing: changing}
 }
 
@@ -103,7 +128,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if k := p.books.byID[id]; k != nil {
-		return p.books.open(k).runs
+		return p.books.open(p.now(), k).runs
 	}
 	return 0
 }
@@ -115,7 +140,7 @@
 	ordered := p.ordered() // takes the lock of its owner, so not under mu
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := &decision{p: p, r: r, try: try, now: time.Now(), service: service}
+	d := &decision{p: p, r: r, try: try, now: p.now(), service: service}
 	d.endpoints = p.usable(r.Service, append(ordered, try.Tried...))
 	if len(d.endpoints) == 0 {
 		return relay.Plan{}, noEndpoint("no endpoint of the service takes work now", p.tuning.ComeBack)
@@ -129,7 +154,7 @@
 // usable returns the endpoints of a service that may be sent a request now: all
 // but those excluded, ejected, or changing their role.
 func (p *Planner) usable(service string, excluded []string) []*directory.Endpoint {
-	now := time.Since(p.start)
+	now := p.now().Sub(p.start)
 	var list []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(service) {
 		if slices.Contains(excluded, e.ID) || !p.health.Status(e.ID).Usable(now) || p.books.changing(p.books.of(e)) {
@@ -178,7 +203,7 @@
 	var least time.Duration
 	for _, e := range d.endpoints {
 		k := d.p.books.of(e)
-		open := d.p.books.open(k).runs
+		open := d.p.books.open(d.now, k).runs
 		cost := d.wayTo(e) + time.Duration(float64(open)/float64(max(1, e.Slots))*float64(d.p.tuning.ServiceTime)) + d.rest(k)
 		if best == nil || cost < least {
 			best, least = e, cost
@@ -209,7 +234,15 @@
 	}
 	d.p.uplink.send(d.now, headBytes+len(d.r.Body))
 	k := d.p.books.of(e)
-	ahead := d.p.books.open(k).prefillTokens
+	h := &hold{book: k, zone: e.Zone, ticket: ticket, work: w, ahead: d.p.books.open(d.now, k).prefill, since: d.now.Add(d.linkWait()), trip: d.wayTo(e)}
+	if k.cache != nil {
+		h.pace = d.p.paceOf(e.Service, e.Role)
+	}
+	if w.prefill.tokens > 0 {
+		h.begins = h.since.Add(h.trip/2 + aheadDoubt*h.pace.time(h.ahead) + beginDoubt)
+		h.takes = h.pace.time(w.prefill)
+		k.prefilling[h] = struct{}{}
+	}
 	k.own.add(w)
-	return &hold{book: k, zone: e.Zone, ticket: ticket, work: w, ahead: ahead, since: d.now.Add(d.linkWait())}, true
+	return h, true
 }
--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -14,16 +14,16 @@
 	defer p.mu.Unlock()
 	out := rolechange.Pressure{Slots: s.Engine.Slots}
 	var wait time.Duration
-	prefill := 0
+	prefill, now := 0, p.now()
 	for _, e := range p.directory.Snapshot().Service(s.Name) {
 		k := p.books.of(e)
-		open := p.books.open(k)
+		open := p.books.open(now, k)
 		if e.Role != engine.Prefill {
 			out.Running += open.runs
 			continue
 		}
 		prefill++
-		wait += k.speed.time(open.prefillTokens)
+		wait += p.paceOf(s.Name, e.Role).time(open.prefill)
 	}
 	if prefill > 0 {
 		out.PrefillWait = wait / time.Duration(prefill)
--- a/slopes/gateway.go
+++ b/slopes/gateway.go
@@ -41,7 +41,10 @@
 	config.Index()
 	var p *placement.Planner
 	d := directory.New(func(old, now *directory.Snapshot) { p.SetEndpoints(old, now) })
-	p = placement.New(zoneName, d, func() *routes.Config { return config }, func() []string { return nil }, placement.DefaultTuning())
+	p = placement.New(placement.Config{
+		Zone: zoneName, Directory: d, Routes: func() *routes.Config { return config },
+		Ordered: func() []string { return nil }, Tuning: placement.DefaultTuning(),
+	})
 	var list []directory.Registration
 	for i := range engines {
 		role := engine.Prefill
