Leave engines alone whose change was ordered by a VM that died, or that refuse others

Each VM also found a refusing engine by itself. A prefill that broke off was answered 502, though a prefill runs nothing and the caller could have come back.

Change: an announced change is believed for 4 s, or until the row shows it; an engine of another role or incarnation is left alone for a second; engines that refuse a VM twice are told to the others; a lost prefill is answered 503; a 5xx of an idempotent request goes to a second endpoint, and its answer is kept and delivered if that gives none. A line tells when a prompt was read elsewhere.

--- a/loadshare/datagrams.go
+++ b/loadshare/datagrams.go
@@ -58,7 +58,7 @@
 	x.sequence++
 	return &sharepb.Load{
 		Vm: x.cfg.VM, Zone: x.cfg.Zone, Address: x.cfg.Address,
-		Boot: x.boot, Sequence: x.sequence, Changing: r.Changing, Leaving: x.leaving,
+		Boot: x.boot, Sequence: x.sequence, Changing: r.Changing, Refusing: r.Refusing, Leaving: x.leaving,
 		Strength: uint32(x.cfg.Strength), ZoneSum: zoneSum,
 	}
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -75,11 +75,13 @@
 	Placed []*sharepb.Placed
 	// Changing are the engines that were ordered to change their role.
 	Changing []uint32
+	// Refusing are the endpoints that keep refusing requests.
+	Refusing []uint32
 }
 
 // empty tells whether there is nothing to tell.
 func (r *Report) empty() bool {
-	return len(r.Work) == 0 && len(r.Placed) == 0 && len(r.Changing) == 0
+	return len(r.Work) == 0 && len(r.Placed) == 0 && len(r.Changing) == 0 && len(r.Refusing) == 0
 }
 
 // Exchange sends and receives. It is safe for concurrent use; mu is a leaf.
--- a/loadshare/members.go
+++ b/loadshare/members.go
@@ -58,7 +58,7 @@
 func (m *memberLoads) sum(now time.Time, own Report) Report {
 	total := totals{}
 	total.add(own.Work)
-	changing := slices.Clone(own.Changing)
+	changing, refusing := slices.Clone(own.Changing), slices.Clone(own.Refusing)
 	for key, l := range m.loads {
 		if now.Sub(l.at) > TTL {
 			delete(m.loads, key)
@@ -66,11 +66,13 @@
 		}
 		total.add(l.load.Work)
 		changing = append(changing, l.load.Changing...)
+		refusing = append(refusing, l.load.Refusing...)
 	}
 	slices.Sort(changing)
+	slices.Sort(refusing)
 	placed := append(m.placed, own.Placed...)
 	m.placed = nil
-	return Report{Work: total.list(), Placed: placed, Changing: slices.Compact(changing)}
+	return Report{Work: total.list(), Placed: placed, Changing: slices.Compact(changing), Refusing: slices.Compact(refusing)}
 }
 
 // without returns a zone's report less the work of one of its VMs, which knows its
--- a/placement/books.go
+++ b/placement/books.go
@@ -1,10 +1,12 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
@@ -51,11 +53,19 @@
 	// one that is changing its role is away for seconds.
 	restMin = 25 * time.Millisecond
 	restMax = 800 * time.Millisecond
+	// restWrong is how long one that is not what its row says is left alone: a row
+	// follows within about a second.
+	restWrong = time.Second
 )
 
-// refused leaves the endpoint alone for a while.
-func (b *book) refused(now time.Time) {
-	b.restUntil = now.Add(min(restMin<<min(b.refusals, 8), restMax))
+// refused leaves the endpoint alone for a while. One that is another than was meant, or
+// has another role, stays so until its row shows it.
+func (b *book) refused(now time.Time, code failure.Reason) {
+	rest := min(restMin<<min(b.refusals, 8), restMax)
+	if code == failure.WrongIncarnation {
+		rest = restWrong
+	}
+	b.restUntil = now.Add(rest)
 	b.refusals++
 }
 
@@ -76,7 +86,7 @@
 // peerLoad is what a source last told.
 type peerLoad struct {
 	work     []*sharepb.Work
-	changing []uint32
+	refusing []uint32
 	at       time.Time
 }
 
@@ -88,6 +98,9 @@
 	peers  map[source]peerLoad
 	// others is the work of the other VMs together, by the endpoint's hash.
 	others map[uint32]work
+	// changing are the engines that some VM has ordered to change their role, and until
+	// when that is believed without news of it.
+	changing map[uint32]time.Time
 	// placed are the prompts given to engines since they were last told.
 	placed []*sharepb.Placed
 }
@@ -96,7 +109,7 @@
 const maxPlaced = 256
 
 func newBooks() *books {
-	return &books{byID: map[string]*book{}, byHash: map[uint32]*book{}, peers: map[source]peerLoad{}, others: map[uint32]work{}}
+	return &books{byID: map[string]*book{}, byHash: map[uint32]*book{}, peers: map[source]peerLoad{}, others: map[uint32]work{}, changing: map[uint32]time.Time{}}
 }
 
 // open is the work of all VMs at an endpoint.
@@ -155,7 +168,7 @@
 // segments that are no longer used: their endpoints now stand in others.
 func (b *books) replace(now time.Time, from source, load *sharepb.Load) {
 	b.subtract(from)
-	b.peers[from] = peerLoad{work: load.Work, changing: load.Changing, at: now}
+	b.peers[from] = peerLoad{work: load.Work, refusing: load.Refusing, at: now}
 	unused := from
 	for unused.segment = load.Segments; unused.segment > 0; unused.segment++ {
 		if _, told := b.peers[unused]; !told {
@@ -163,6 +176,9 @@
 		}
 		b.subtract(unused)
 	}
+	for _, hash := range load.Changing {
+		b.changing[hash] = now.Add(changeMemory)
+	}
 	for _, w := range load.Work {
 		sum := b.others[w.Endpoint]
 		sum.add(workOf(w))
@@ -184,18 +200,48 @@
 	delete(b.peers, from)
 }
 
-// changing tells whether another VM has ordered the engine to change its role.
-func (b *books) changing(k *book) bool {
+// changeMemory is how long an engine is taken to be changing its role after it was last
+// told so: the change takes three seconds and is seen a second later. The VM that
+// ordered it may be gone by then, and an engine that refuses looks idle: until its row
+// changed, the others sent it up to 100 requests, each of which was lost.
+const changeMemory = 4 * time.Second
+
+// isChanging tells whether another VM has ordered the engine to change its role.
+func (b *books) isChanging(now time.Time, k *book) bool { return now.Before(b.changing[k.hash]) }
+
+// refusesOthers tells whether another VM finds that the endpoint keeps refusing.
+func (b *books) refusesOthers(k *book) bool {
 	for _, p := range b.peers {
-		if slices.Contains(p.changing, k.hash) {
+		if slices.Contains(p.refusing, k.hash) {
 			return true
 		}
 	}
 	return false
 }
 
+// changed notes that an engine has another role now.
+func (b *books) changed(id string) {
+	if k := b.byID[id]; k != nil {
+		delete(b.changing, k.hash)
+		k.restUntil, k.refusals = time.Time{}, 0
+	}
+}
+
+// refusing are the endpoints that have refused this VM more than once and are left
+// alone for that.
+func (b *books) refusing(now time.Time) []uint32 {
+	var list []uint32
+	for _, k := range b.byID {
+		if k.refusals > 1 && now.Before(k.restUntil) {
+			list = append(list, k.hash)
+		}
+	}
+	return list
+}
+
 // expire forgets what peers told that have fallen silent.
 func (b *books) expire(now time.Time) {
+	maps.DeleteFunc(b.changing, func(_ uint32, until time.Time) bool { return !now.Before(until) })
 	for from, p := range b.peers {
 		if now.Sub(p.at) > loadshare.TTL {
 			b.subtract(from)
--- a/placement/books_test.go
+++ b/placement/books_test.go
@@ -4,8 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
+	"github.com/springweir/springweir/relay"
 )
 
 // A sum replaces the sum of the same part of the same zone, whoever collected it,
@@ -37,3 +40,62 @@
 		t.Errorf("%d requests of silent VMs still count", got)
 	}
 }
+
+// The VM that ordered an engine to change its role may die before the change is seen:
+// the engine stays left alone until its row shows the new role.
+func TestChangesOutliveTheVMThatOrderedThem(t *testing.T) {
+	inTime(t, func(t *testing.T, b *bed) {
+		b.engine("d1", "a", engine.Decode)
+		b.engine("d2", "a", engine.Decode)
+		b.planner.Heard(&sharepb.Load{Vm: "author", Changing: []uint32{loadshare.Hash("d1")}})
+		time.Sleep(2 * loadshare.TTL)
+		b.planner.Own() // forgets the author
+		b.planner.Heard(&sharepb.Load{Vm: "other"})
+		for range 20 {
+			p := b.plan(b.chat(), relay.Try{})
+			if p.Serve.ID == "d1" {
+				t.Fatal("a request goes to an engine whose change was ordered by a VM that is gone")
+			}
+			b.done(p)
+		}
+		b.dir.Put(directory.Registration{ID: "d1", Service: "llm", Zone: "a", Slots: 4, Role: engine.Prefill})
+		if p := b.plan(b.letter("s"), relay.Try{}); p.Prefill == nil || p.Prefill.ID != "d1" {
+			t.Errorf("the changed engine gets no work: %v", p.Prefill)
+		}
+	})
+}
+
+// An engine that refuses looks idle to every VM. One that has refused a VM twice is left
+// alone by the others too, unless there is no other.
+func TestRefusalsAreToldToOthers(t *testing.T) {
+	inTime(t, func(t *testing.T, b *bed) {
+		b.engine("d1", "a", engine.Decode)
+		b.engine("d2", "a", engine.Decode)
+		for range 2 {
+			b.plan(b.chat(), relay.Try{Tried: []string{"d2"}}).Watch.Finished(refusedAttempt(), false)
+			time.Sleep(restMin)
+		}
+		told := b.planner.Own()
+		if len(told.Refusing) != 1 || told.Refusing[0] != loadshare.Hash("d1") {
+			t.Fatalf("tells of %v", told.Refusing)
+		}
+		c := newBed(t)
+		c.engine("d1", "a", engine.Decode)
+		c.engine("d2", "a", engine.Decode)
+		c.planner.Heard(&sharepb.Load{Vm: "other", Refusing: told.Refusing})
+		for range 20 {
+			p := c.plan(c.chat(), relay.Try{})
+			if p.Serve.ID == "d1" {
+				t.Fatal("a request goes to an engine that keeps refusing another VM")
+			}
+			c.done(p)
+		}
+		if p := c.plan(c.chat(), relay.Try{Tried: []string{"d2"}}); p.Serve.ID != "d1" {
+			t.Errorf("with no other engine the request goes to %s", p.Serve.ID)
+		}
+		time.Sleep(restMax)
+		if told := b.planner.Own(); len(told.Refusing) != 0 {
+			t.Errorf("still tells of %v", told.Refusing)
+		}
+	})
+}
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -130,7 +130,7 @@
 	case failed == nil:
 		h.book.refusals = 0
 	case failed.Ran == failure.NotRun:
-		h.book.refused(p.now())
+		h.book.refused(p.now(), failed.Code)
 	}
 	result := resultOf(failed, abandoned)
 	p.health.End(p.now().Sub(p.start), h.ticket, result)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -85,6 +85,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, e := range now.All() {
+		if before := old.Endpoint(e.ID); before != nil && before.Role != e.Role {
+			p.books.changed(e.ID)
+		}
+	}
 	p.books.keep(now)
 }
 
@@ -121,7 +126,7 @@
 	defer p.mu.Unlock()
 	p.books.expire(p.now())
 	work, placed := p.books.told(p.now())
-	return loadshare.Report{Work: work, Placed: placed, Changing: changing}
+	return loadshare.Report{Work: work, Placed: placed, Changing: changing, Refusing: p.books.refusing(p.now())}
 }
 
 // changing are the hashes of the engines that this VM has ordered to change.
@@ -162,16 +167,24 @@
 }
 
 // usable returns the endpoints of a service that may be sent a request now: all
-// but those excluded, ejected, or changing their role.
+// but those excluded, ejected, or changing their role, and those that refuse other VMs
+// only if there are none else.
 func (p *Planner) usable(service string, excluded []string) []*directory.Endpoint {
-	now := p.now().Sub(p.start)
-	var list []*directory.Endpoint
+	now := p.now()
+	var list, refusing []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(service) {
-		if slices.Contains(excluded, e.ID) || !p.health.Status(e.ID).Usable(now) || p.books.changing(p.books.of(e)) {
+		if slices.Contains(excluded, e.ID) || !p.health.Status(e.ID).Usable(now.Sub(p.start)) || p.books.isChanging(now, p.books.of(e)) {
+			continue
+		}
+		if p.books.refusesOthers(p.books.of(e)) {
+			refusing = append(refusing, e)
 			continue
 		}
 		list = append(list, e)
 	}
+	if len(list) == 0 {
+		return refusing
+	}
 	return list
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,9 +14,15 @@
 	"github.com/springweir/springweir/internal/watchdog"
 )
 
+// spareAnswer is an answer that was read to its end.
+type spareAnswer struct {
+	answer Answer
+	body   []byte
+}
+
 // whole reads an answer to its end before any of it is passed on, so that a
 // caller never gets half of one.
-func (j *job) whole(answer Answer) *failure.Request {
+func (j *job) whole(ctx context.Context, answer Answer) *failure.Request {
 	body, failed := j.readAll(answer)
 	if failed != nil {
 		return failed
@@ -25,13 +33,38 @@
 			Message: fmt.Sprintf("the endpoint answered %d in the middle of a stream", answer.Status()),
 		}
 	}
-	if failed := j.begin(answer, int64(len(body))); failed != nil {
+	read := &spareAnswer{answer: answer, body: body}
+	if answer.Status() >= http.StatusInternalServerError && j.mayAskAnother(ctx) {
+		j.spare = read
+		return &failure.Request{
+			Code: failure.EndpointFailed, Ran: failure.Done,
+			Message: fmt.Sprintf("the endpoint answered %d", answer.Status()),
+		}
+	}
+	return j.deliver(read)
+}
+
+// mayAskAnother tells whether a request whose endpoint answered that it failed may go to
+// another one, with time left for that. A fifth of such answers are of the endpoint and
+// not of the request.
+func (j *job) mayAskAnother(ctx context.Context) bool {
+	route := j.req.Route
+	if !route.Repeatable() || j.result.Attempts+1 >= route.MaxAttempts {
+		return false
+	}
+	deadline, bounded := ctx.Deadline()
+	return !bounded || time.Until(deadline) > route.Objective
+}
+
+// deliver passes an answer on that was read to its end.
+func (j *job) deliver(a *spareAnswer) *failure.Request {
+	if failed := j.begin(a.answer, int64(len(a.body))); failed != nil {
 		return failed
 	}
-	if len(body) == 0 {
+	if len(a.body) == 0 {
 		return nil
 	}
-	if err := j.reply.Write(body); err != nil {
+	if err := j.reply.Write(a.body); err != nil {
 		return callerGone(err)
 	}
 	return nil
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -16,12 +16,13 @@
 // prefill has the plan's first engine read the prompt. Reading it is no run, so
 // an engine that stays silent may be given up whatever the route says.
 //
-// The engine that takes the prompt up counts for no attempt, each that refuses does.
+// The engine that takes the prompt up counts for no attempt, each that refuses does. One
+// that is lost on the way counts too: whether it had taken it up is not known.
 func (j *job) prefill(ctx context.Context, plan Plan, a *Attempt) *failure.Request {
 	j.result.Endpoint = plan.Prefill.ID
 	limited, dog := watchdog.New(ctx, j.prefillStall(plan))
 	defer dog.Stop()
-	read := *a
+	read, began := *a, time.Now()
 	read.Endpoint, read.CopyFrom = plan.Prefill, plan.CopyFrom
 	handle, failed := j.relay.cfg.Upstream.Prefill(limited, &read)
 	failed = watchdog.Explain(limited, failed)
@@ -29,12 +30,22 @@
 	if failed != nil {
 		j.count(failed)
 		j.tried = append(j.tried, plan.Prefill.ID)
-		return failed
+		return notPrefilled(failed)
 	}
 	j.handle, j.prefilled = handle, true
+	klog.InfoS("relay: prompt read", "request", j.req.ID, "endpoint", plan.Prefill.ID, "tookMS", time.Since(began).Milliseconds(), "tokens", handle.Tokens)
 	return nil
 }
 
+// notPrefilled is the failure of a prefill, as it counts for the request: nothing has
+// run, so the caller may come back, also where the request may run only once. It is not
+// read where it would be decoded instead: one long prompt there holds up all streams.
+func notPrefilled(failed *failure.Request) *failure.Request {
+	out := *failed
+	out.Ran = failure.NotRun
+	return &out
+}
+
 // prefillPatience is how many times its predicted time a prefill may take. An
 // engine that is only busy has done most of the work by then.
 const prefillPatience = 4
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,6 +118,9 @@
 	handle *KVHandle
 	// prefilled is set once an engine has read the prompt for another.
 	prefilled bool
+	// spare is an endpoint's whole answer that says it failed, kept while another
+	// endpoint is asked.
+	spare *spareAnswer
 }
 
 func (j *job) run(ctx context.Context) {
@@ -214,13 +217,16 @@
 		return watchdog.Explain(ctx, j.stream(answer, plan.Watch, dog))
 	}
 	plan.Watch.FirstEvent()
-	return watchdog.Explain(ctx, j.whole(answer))
+	return watchdog.Explain(ctx, j.whole(ctx, answer))
 }
 
 // stall is how long an attempt may stay silent at first, or zero when it must
 // not be given up: it could not be made again.
 func (j *job) stall(plan Plan) time.Duration {
 	route := j.req.Route
+	if j.spare != nil {
+		return max(2*plan.Expect, route.Objective)
+	}
 	if !route.Repeatable() || j.result.Attempts+1 >= route.MaxAttempts || route.Objective == 0 {
 		return 0
 	}
@@ -266,8 +272,14 @@
 		"reason", failed.Code, "ran", failed.Ran, "heldEvents", j.held, "cause", failed.Message, "err", failed.Cause)
 }
 
-// end notes the request's final failure, with what is known of all attempts.
+// end notes the request's final failure, with what is known of all attempts. An answer
+// that an endpoint made is delivered rather than a failure of our own.
 func (j *job) end(ctx context.Context, failed *failure.Request) {
+	if j.spare != nil && ctx.Err() == nil {
+		if failed = j.deliver(j.spare); failed == nil {
+			return
+		}
+	}
 	out := *failed
 	out.Ran = j.ran.And(failed.Ran)
 	if ctx.Err() != nil && out.Ran != failure.Done {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -35,6 +35,11 @@
 
 func ok(pieces ...string) step { return step{status: http.StatusOK, pieces: pieces} }
 
+// bad is an endpoint's own failure.
+func bad(body string) step {
+	return step{status: http.StatusInternalServerError, pieces: []string{body}}
+}
+
 func notRun() step {
 	return step{failed: &failure.Request{Code: failure.EndpointRefused, Ran: failure.NotRun}}
 }
@@ -332,6 +337,20 @@
 			outcome{Code: failure.EndpointBroke, Ran: failure.Unknown, Calls: []string{"send a"}, Taken: 1, Attempts: 1}},
 		{"not run after a try that may have run is unknown", world{route: repeatable, plans: []string{"a", "b"}, budget: 1, sends: []step{lost(), notRun()}},
 			outcome{Code: failure.EndpointRefused, Ran: failure.Unknown, Calls: []string{"send a", "send b"}, Taken: 1, Attempts: 2}},
+		{"a repeatable request goes on after an endpoint's own failure", world{route: repeatable, plans: []string{"a", "b"}, budget: 1, sends: []step{bad("a"), ok("b")}},
+			outcome{Status: 200, Body: "b", Begun: true, Calls: []string{"send a", "send b"}, Taken: 1, Attempts: 2}},
+		{"the endpoint's failure is delivered when the second gives no answer", world{route: repeatable, plans: []string{"a", "b"}, budget: 1, sends: []step{bad("a"), lost()}},
+			outcome{Status: 500, Body: "a", Begun: true, Calls: []string{"send a", "send b"}, Taken: 1, Attempts: 2}},
+		{"and when the second is silent, in time", world{route: repeatable, plans: []string{"a", "b"}, budget: 1, sends: []step{bad("a"), {hang: true}}, within: time.Second},
+			outcome{Status: 500, Body: "a", Begun: true, Calls: []string{"send a", "send b"}, Taken: 1, Attempts: 2, Took: 100 * time.Millisecond}},
+		{"and when there is nowhere else to go", world{route: repeatable, plans: []string{"a"}, budget: 1, sends: []step{bad("a")}},
+			outcome{Status: 500, Body: "a", Begun: true, Calls: []string{"send a"}, Taken: 1, Attempts: 1}},
+		{"and without budget", world{route: repeatable, plans: []string{"a", "b"}, sends: []step{bad("a")}},
+			outcome{Status: 500, Body: "a", Begun: true, Calls: []string{"send a"}, Attempts: 1}},
+		{"and with no time left for another", world{route: repeatable, plans: []string{"a", "b"}, budget: 1, sends: []step{bad("a")}, within: 90 * time.Millisecond},
+			outcome{Status: 500, Body: "a", Begun: true, Calls: []string{"send a"}, Attempts: 1}},
+		{"the second failure is delivered", world{route: repeatable, plans: []string{"a", "b"}, budget: 1, sends: []step{bad("a"), bad("b")}},
+			outcome{Status: 500, Body: "b", Begun: true, Calls: []string{"send a", "send b"}, Taken: 1, Attempts: 2}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			got := play(t, tc.w)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -83,6 +83,12 @@
 			outcome{Status: 200, Body: e(1), Begun: true, Calls: []string{"prefill p", "prefill q", "send d import kv2"}, Taken: 1, Attempts: 2, Took: 200 * time.Millisecond}},
 		{"a cache that nobody imports is freed", world{route: chat, plans: []string{"p/d"}, reads: []step{ok()}, sends: []step{notRun()}},
 			outcome{Code: failure.EndpointRefused, Ran: failure.NotRun, Calls: []string{"prefill p", "send d import kv1"}, Freed: []string{"kv1"}, Attempts: 1}},
+		{"an engine that is lost while it prefills has run nothing", world{route: chat, plans: []string{"p/d", "q/c"}, budget: 1, reads: []step{lost()}},
+			outcome{Code: failure.EndpointBroke, Ran: failure.NotRun, Calls: []string{"prefill p"}, Attempts: 1}},
+		{"another may prefill where the route allows two attempts", world{route: letter, plans: []string{"p/d", "q/c"}, budget: 1, reads: []step{lost(), ok()}, sends: []step{ok(e(1))}},
+			outcome{Status: 200, Body: e(1), Begun: true, Calls: []string{"prefill p", "prefill q", "send c import kv2"}, Taken: 1, Attempts: 2}},
+		{"what may have run once stays so", world{route: letter, plans: []string{"p/d", "q/c"}, budget: 1, reads: []step{ok()}, sends: []step{lost(), lost()}},
+			outcome{Code: failure.EndpointBroke, Ran: failure.Unknown, Calls: []string{"prefill p", "send d import kv1", "send c"}, Taken: 1, Attempts: 2}},
 		{"after a lost cache the serving engine reads the prompt itself", world{route: letter, plans: []string{"p/d", "q/c"}, budget: 1, reads: []step{ok()}, sends: []step{cut(e(1)), ok(e(2))}},
 			outcome{Status: 200, Body: e(1) + e(2), Begun: true, Calls: []string{"prefill p", "send d import kv1", "send c after 1"}, Taken: 1, Attempts: 2}},
 	} {
