Ask engines after a restart what they hold, and believe the first samples of a pace

Cause: VMs that start know neither the pace of the engines nor what these hold.

Change: a VM that starts asks the engines of its own zone once what they hold, at a random moment of the first 200 ms and only what no other VM has told by then, and tells the others. The bound on a late sample is four times as wide for the first and narrows with each. A request's end gives its cause in the log.

--- /dev/null
+++ b/gateway/caches.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/internal/loop"
+	"github.com/springweir/springweir/prompt"
+)
+
+// Caches tells what engines hold.
+type Caches interface {
+	// Held returns the parts of prompts that an engine's KV cache holds.
+	Held(ctx context.Context, e *directory.Endpoint) ([]prompt.Part, error)
+}
+
+const (
+	// heldTimeout bounds the question what an engine holds. It holds up the engine's
+	// work, so it is not asked again.
+	heldTimeout = 500 * time.Millisecond
+	// heldSpread is the time over which the VMs of a zone that start together ask: the
+	// first one's answer is told to the others within some ten milliseconds.
+	heldSpread = 200 * time.Millisecond
+	// configPoll is how often to look for the first configuration, which comes from the
+	// same store at about the same time.
+	configPoll = 10 * time.Millisecond
+)
+
+// learnCaches asks the engines that were there before this process what they hold.
+// Without it a VM that restarts reads again what its engines hold: after all VMs lost
+// power at once, half of the requests of the next four seconds came too late.
+//
+// Each VM asks the engines of its own zone and tells the others.
+func (g *Gateway) learnCaches(ctx context.Context) {
+	for _, e := range g.directory.Snapshot().All() {
+		if e.Role != "" && e.Zone == g.settings.Zone {
+			go g.learnCache(ctx, e)
+		}
+	}
+}
+
+// awaitConfig waits until a configuration is known, which tells what engines can hold.
+func (g *Gateway) awaitConfig(ctx context.Context) bool {
+	for g.state.config.Load() == nil {
+		if !loop.Sleep(ctx, configPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Gateway) learnCache(ctx context.Context, e *directory.Endpoint) {
+	if !loop.Sleep(ctx, rand.N(heldSpread)) || !g.awaitConfig(ctx) || g.planner.KnowsCache(e.ID) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
+	defer cancel()
+	parts, err := g.platform.Caches.Held(ctx, e)
+	if err != nil {
+		klog.InfoS("gateway: what an engine holds is not known", "endpoint", e.ID, "err", err)
+		return
+	}
+	g.planner.Holds(e.ID, parts)
+	klog.InfoS("gateway: learned what an engine holds", "endpoint", e.ID, "parts", len(parts))
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -69,10 +69,16 @@
 // followEndpoints keeps the directory.
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := &table.Follower{
-		Feed:      g.platform.Feed,
-		Table:     g.platform.Endpoints,
-		Pause:     g.settings.DrainWithin / drainPart,
-		OnList:    g.takeEndpoints,
+		Feed:  g.platform.Feed,
+		Table: g.platform.Endpoints,
+		Pause: g.settings.DrainWithin / drainPart,
+		OnList: func(rows []table.Row, afterOutage bool) {
+			first := !g.state.listed.Load()
+			g.takeEndpoints(rows, afterOutage)
+			if first {
+				g.learnCaches(ctx)
+			}
+		},
 		OnChanges: g.changeEndpoints,
 		OnLost: func(err error) {
 			klog.InfoS("gateway: endpoints cannot be followed, the known ones stay", "err", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	Feed     table.Feed
 	Upstream relay.Upstream
 	Engines  rolechange.Engines
+	Caches   Caches
 	Codec    Codec
 	// Config is the row of the operators' configuration, and Endpoints the table
 	// in which endpoints register.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -143,7 +143,7 @@
 	klog.InfoS("gateway: request ended", "request", req.ID, "route", req.Route.Name, "config", h.state.version(),
 		"status", result.Status, "begun", result.Begun, "endpoint", result.Endpoint, "attempts", result.Attempts,
 		"events", result.Events, "firstMS", result.First.Milliseconds(), "pauseMS", result.Pause.Milliseconds(), "tookMS", time.Since(req.Received).Milliseconds(),
-		"failure", codeOf(result.Failed), "ran", ranOf(result.Failed))
+		"failure", codeOf(result.Failed), "cause", causeOf(result.Failed), "ran", ranOf(result.Failed))
 	switch {
 	case result.Failed == nil:
 	case result.Begun:
@@ -161,6 +161,13 @@
 	return failed.Code
 }
 
+func causeOf(failed *failure.Request) string {
+	if failed == nil {
+		return ""
+	}
+	return failed.Message
+}
+
 func ranOf(failed *failure.Request) failure.Outcome {
 	if failed == nil {
 		return failure.Done
--- a/placement/books.go
+++ b/placement/books.go
@@ -141,6 +141,15 @@
 	return k
 }
 
+// engine returns the book of an engine, with the model of its cache of so many tokens.
+func (b *books) engine(e *directory.Endpoint, kvTokens int) *book {
+	k := b.of(e)
+	if k.cache == nil {
+		k.cache = newCacheModel(kvTokens)
+	}
+	return k
+}
+
 // keep forgets endpoints that are gone and have no open work.
 func (b *books) keep(s *directory.Snapshot) {
 	for id, k := range b.byID {
@@ -151,17 +160,11 @@
 	}
 }
 
-// heard takes in a peer's datagram. readyAt tells when an engine will have read what
-// is open there.
-func (b *books) heard(now time.Time, load *sharepb.Load, readyAt func(*book) time.Time) {
+// heard takes in a peer's work.
+func (b *books) heard(now time.Time, load *sharepb.Load) {
 	if !load.NoWork {
 		b.replace(now, sourceOf(load), load)
 	}
-	for _, p := range load.Placed {
-		if k := b.byHash[p.Endpoint]; k != nil && k.cache != nil && len(p.Part) == len(p.Tokens) {
-			k.cache.use(chunksOfPlaced(p), readyAt(k))
-		}
-	}
 }
 
 // replace puts a load in the place of the one that its source told before, and drops
--- a/placement/books_test.go
+++ b/placement/books_test.go
@@ -30,7 +30,7 @@
 		{&sharepb.Load{Vm: "c3", Zone: "y", ZoneSum: true, Work: work(6)}, 10},
 		{&sharepb.Load{Vm: "c3", Zone: "y", ZoneSum: true}, 4},
 	} {
-		b.heard(now, step.load, func(*book) time.Time { return time.Time{} })
+		b.heard(now, step.load)
 		if got := b.others[1].runs; got != step.want {
 			t.Errorf("after %v: %d requests run, want %d", step.load, got, step.want)
 		}
--- a/placement/engines.go
+++ b/placement/engines.go
@@ -174,9 +174,5 @@
 
 // engineBook returns the book of an engine, with the model of its cache.
 func (d *decision) engineBook(e *directory.Endpoint) *book {
-	k := d.p.books.of(e)
-	if k.cache == nil {
-		k.cache = newCacheModel(d.service.Engine.KVTokens)
-	}
-	return k
+	return d.p.books.engine(e, d.service.Engine.KVTokens)
 }
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -48,6 +48,8 @@
 	spread [numFeatures]features
 	// bias is a decaying mean of the bounded errors.
 	bias float64
+	// samples counts what was learned from.
+	samples int
 }
 
 const numFeatures = 3
@@ -86,6 +88,10 @@
 	// VM does not know of only makes a prefill late, so being late counts for less:
 	// with equal bounds the predictions on full engines were a fifth too long.
 	maxEarly, maxLate = -0.4, 0.4
+	// firstLate is added to maxLate for the first sample, half of it for the second and
+	// so on: the start values are a guess that may be several times too fast. With it
+	// predictions are right after one second of load instead of three.
+	firstLate = 4.0
 	// maxError bounds the error that a sample adds to the bias.
 	maxError = 0.5
 	// leastPrefill is the least time that a prefill is predicted to take.
@@ -143,7 +149,8 @@
 		keep /= widen
 		p.scale(1 + catchUp*gross)
 	}
-	off = min(max(off, maxEarly), maxLate)
+	off = min(max(off, maxEarly), maxLate+firstLate/float64(1+p.samples))
+	p.samples++
 	for i := range p.theta {
 		p.theta[i] = max(0, p.theta[i]+gain[i]*off/total)
 	}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -106,7 +106,8 @@
 func (p *Planner) Heard(load *sharepb.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.books.heard(p.now(), load, p.readyAt)
+	p.books.heard(p.now(), load)
+	p.hear(load.Placed)
 }
 
 // readyAt is when an engine will have read what is open there.
