--- a/placement/books.go
+++ b/placement/books.go
@@ -53,6 +53,10 @@
 	// one that is changing its role is away for seconds.
 	restMin = 25 * time.Millisecond
 	restMax = 800 * time.Millisecond
+	// toldRefusals are the refusals in a row that count for a VM that was told of them:
+	// its own first one then leaves the endpoint alone for longer, so that the VMs do not
+	// all try it again each time that one of them does.
+	toldRefusals = 4
 	// restWrong is how long one that is not what its row says is left alone: a row
 	// follows within about a second.
 	restWrong = time.Second
@@ -122,9 +126,9 @@
 // left is the own work at an endpoint, less the part of each prefill that should be
 // done by now. Without this an engine in the midst of a long prompt looks busier than
 // it is, by up to the whole of it.
-func (k *book) left(now time.Time) work {
-	w := k.own
-	for h := range k.prefilling {
+func (b *book) left(now time.Time) work {
+	w := b.own
+	for h := range b.prefilling {
 		w.prefill = w.prefill.minus(h.done(now))
 	}
 	return w
@@ -182,6 +186,11 @@
 	for _, hash := range load.Changing {
 		b.changing[hash] = now.Add(changeMemory)
 	}
+	for _, hash := range load.Refusing {
+		if k := b.byHash[hash]; k != nil {
+			k.refusals = max(k.refusals, toldRefusals)
+		}
+	}
 	for _, w := range load.Work {
 		sum := b.others[w.Endpoint]
 		sum.add(workOf(w))
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -29,15 +29,17 @@
 // use; its lock is a leaf (nothing else is locked under it).
 type Budget struct {
 	limits Limits
+	now    func() time.Time
 
 	mu     sync.Mutex
 	tokens float64
 	last   time.Time
 }
 
-// NewBudget returns a budget that starts full.
-func NewBudget(l Limits) *Budget {
-	return &Budget{limits: l, tokens: l.Burst, last: time.Now()}
+// NewBudget returns a budget that starts full. A nil now is time.Now.
+func NewBudget(l Limits, now func() time.Time) *Budget {
+	now = orSystemClock(now)
+	return &Budget{limits: l, now: now, tokens: l.Burst, last: now()}
 }
 
 // First notes a first attempt, which earns a part of a retry.
@@ -61,7 +63,7 @@
 }
 
 func (b *Budget) refill() {
-	now := time.Now()
+	now := b.now()
 	b.add(now.Sub(b.last).Seconds() * b.limits.FloorPerSecond)
 	b.last = now
 }
@@ -88,7 +90,7 @@
 	defer s.mu.Unlock()
 	b := s.byPool[pool]
 	if b == nil {
-		b = NewBudget(s.limits)
+		b = NewBudget(s.limits, nil)
 		s.byPool[pool] = b
 	}
 	return b
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -22,7 +22,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := NewBudget(tt.limits)
+				b := NewBudget(tt.limits, nil)
 				granted := 0
 				for range tt.firsts * tt.seconds {
 					b.First()
--- a/retry/window.go
+++ b/retry/window.go
@@ -35,10 +35,15 @@
 
 // NewWindow returns a window that has seen nothing. A nil now is time.Now.
 func NewWindow(l WindowLimits, now func() time.Time) *Window {
+	return &Window{limits: l, now: orSystemClock(now)}
+}
+
+// orSystemClock returns now, or the VM's own clock for nil.
+func orSystemClock(now func() time.Time) func() time.Time {
 	if now == nil {
-		now = time.Now
+		return time.Now
 	}
-	return &Window{limits: l, now: now}
+	return now
 }
 
 // SetLimits changes the limits. What was seen stays, unless the span changes.
--- a/rolechange/keeper.go
+++ b/rolechange/keeper.go
@@ -35,6 +35,8 @@
 	// Rank is this VM's place among all: those behind the first few contend less
 	// often.
 	Rank func() int
+	// Now is where decisions take the time from; nil is the VM's clock.
+	Now func() time.Time
 	// Lease is how long after an order of one holder no other may order.
 	Lease time.Duration
 }
@@ -76,6 +78,9 @@
 
 // New returns a keeper that contends for the lease as boot, a name drawn at this start.
 func New(cfg Config, boot, address string) *Keeper {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Keeper{
 		cfg:      cfg,
 		changing: map[string]change{},
@@ -119,7 +124,7 @@
 		return
 	}
 	pressure := k.cfg.Pressure(s)
-	want := k.balancer(s.Name).Target(time.Now(), shape, pressure)
+	want := k.balancer(s.Name).Target(k.cfg.Now(), shape, pressure)
 	to, n := engine.Prefill, want-shape.Prefill
 	if n < 0 {
 		to, n = engine.Decode, -n
--- a/rolechange/order.go
+++ b/rolechange/order.go
@@ -34,16 +34,16 @@
 // settle forgets changes that were carried out, whose engine is gone, or that
 // take too long.
 func (k *Keeper) settle() {
-	s := k.cfg.Directory.Snapshot()
+	s, now := k.cfg.Directory.Snapshot(), k.cfg.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, c := range k.changing {
 		e := s.Endpoint(id)
 		switch {
 		case e == nil, e.Role == c.to:
-			klog.InfoS("rolechange: change settled", "endpoint", id, "role", c.to, "took", time.Since(c.since), "gone", e == nil)
+			klog.InfoS("rolechange: change settled", "endpoint", id, "role", c.to, "took", now.Sub(c.since), "gone", e == nil)
 			delete(k.changing, id)
-		case time.Since(c.since) > changeTimeout:
+		case now.Sub(c.since) > changeTimeout:
 			klog.InfoS("rolechange: change not seen in time, to be looked at anew", "endpoint", id, "role", c.to)
 			delete(k.changing, id)
 		}
@@ -80,7 +80,7 @@
 func (k *Keeper) note(id string, to engine.Role) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.changing[id] = change{to: to, since: time.Now()}
+	k.changing[id] = change{to: to, since: k.cfg.Now()}
 }
 
 func (k *Keeper) drop(id string) {
