Count the whole of a prefill until it is done

Cause: the ablation: counting a prefill in progress by what should be left of it serves no more than counting it whole.

Change: removed, with its two constants.

--- a/placement/books.go
+++ b/placement/books.go
@@ -37,8 +37,6 @@
 	id   string
 	hash uint32
 	own  work
-	// prefilling are the holds whose prefill is not done.
-	prefilling map[*hold]struct{}
 	// cache is nil for an endpoint that is no engine.
 	cache *cacheModel
 	// restUntil is until when the endpoint is left alone because it refused, and
@@ -117,28 +115,17 @@
 }
 
 // open is the work of all VMs at an endpoint.
-func (b *books) open(now time.Time, k *book) work {
-	w := k.left(now)
+func (b *books) open(k *book) work {
+	w := k.own
 	w.add(b.others[k.hash])
 	return w
 }
 
-// left is the own work at an endpoint, less the part of each prefill that should be
-// done by now. Without this an engine in the midst of a long prompt looks busier than
-// it is, by up to the whole of it.
-func (b *book) left(now time.Time) work {
-	w := b.own
-	for h := range b.prefilling {
-		w.prefill = w.prefill.minus(h.done(now))
-	}
-	return w
-}
-
 // of returns the book of an endpoint.
 func (b *books) of(e *directory.Endpoint) *book {
 	k := b.byID[e.ID]
 	if k == nil {
-		k = &book{id: e.ID, hash: loadshare.Hash(e.ID), prefilling: map[*hold]struct{}{}}
+		k = &book{id: e.ID, hash: loadshare.Hash(e.ID)}
 		b.byID[e.ID] = k
 		b.byHash[k.hash] = k
 	}
@@ -312,11 +299,11 @@
 }
 
 // told returns the own work, and the prompts placed since the last call.
-func (b *books) told(now time.Time) ([]*sharepb.Work, []*sharepb.Placed) {
+func (b *books) told() ([]*sharepb.Work, []*sharepb.Placed) {
 	var list []*sharepb.Work
 	for _, k := range b.byID {
 		if k.own != (work{}) {
-			list = append(list, toldOf(k.hash, k.left(now)))
+			list = append(list, toldOf(k.hash, k.own))
 		}
 	}
 	placed := b.placed
--- a/placement/decoder.go
+++ b/placement/decoder.go
@@ -32,7 +32,7 @@
 	var best option
 	for _, e := range d.drawn(engines) {
 		k := d.engineBook(e)
-		open := d.p.books.open(d.now, k)
+		open := d.p.books.open(k)
 		wait := d.prefillTime(e, open.prefill) + d.decodeWait(e, open, tokens)
 		best = sooner(best, option{serve: e, first: d.sendTime() + d.wayTo(e) + d.moveTime(from, e, tokens) + wait, wait: wait, spread: time.Duration(open.runs) * perRun})
 	}
--- a/placement/direct.go
+++ b/placement/direct.go
@@ -11,7 +11,7 @@
 	var best option
 	for _, e := range d.drawn(d.role(engine.Decode)) {
 		o := d.prefillOn(e, chunks, tokens)
-		open := d.p.books.open(d.now, d.p.books.of(e))
+		open := d.p.books.open(d.p.books.of(e))
 		if !d.try.Whole && open.prefill.tokens+o.uncached > d.p.tuning.DirectTokens {
 			continue
 		}
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -19,10 +19,6 @@
 	pace *pace
 	// ahead is the prefill that was open there when this work joined it.
 	ahead amount
-	// begins is when the engine should begin with this prefill, and takes how long it
-	// should take.
-	begins time.Time
-	takes  time.Duration
 	// copied tells that the engine was to copy a part of the prompt first.
 	copied bool
 	// since is when the VM's link has sent the request, as predicted, and trip the
@@ -32,27 +28,6 @@
 	ended bool
 }
 
-// aheadDoubt multiplies the predicted time of what is ahead of a prefill, and beginDoubt
-// is added, before any of the prefill is taken to be done. What is counted too early as
-// done lets too much in: without them engines whose queues are full of short prompts
-// serve a twentieth less in time.
-const (
-	aheadDoubt = 2
-	beginDoubt = 20 * time.Millisecond
-)
-
-// maxProgress is the most of a prefill that is taken to be done before the engine says
-// so.
-const maxProgress = 0.9
-
-// done is the part of the prefill that the engine should have done by now.
-func (h *hold) done(now time.Time) amount {
-	if h.takes <= 0 || now.Before(h.begins) {
-		return amount{}
-	}
-	return h.work.prefill.times(min(float64(now.Sub(h.begins))/float64(h.takes), maxProgress))
-}
-
 // readyAt is when the engine should have read the prompt.
 func (h *hold) readyAt() time.Time {
 	return h.since.Add(h.trip/2 + h.pace.time(h.ahead.plus(h.work.prefill)))
@@ -114,7 +89,6 @@
 	}
 	h.book.own.prefill = h.book.own.prefill.minus(h.work.prefill)
 	h.work.prefill = amount{}
-	delete(h.book.prefilling, h)
 }
 
 // end gives a hold back. Giving it back again does nothing.
@@ -124,7 +98,6 @@
 	}
 	h.ended = true
 	h.book.own.sub(h.work)
-	delete(h.book.prefilling, h)
 	switch {
 	case abandoned:
 	case failed == nil:
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -30,10 +30,6 @@
 	return amount{tokens: a.tokens - b.tokens, megaPairs: a.megaPairs - b.megaPairs}
 }
 
-func (a amount) times(part float64) amount {
-	return amount{tokens: int(float64(a.tokens) * part), megaPairs: int(float64(a.megaPairs) * part)}
-}
-
 // pace says how long engines of one service and role take to prefill. It is learned
 // from their answers by recursive least squares over three features: a fixed time,
 // the tokens and the pairs. Engines of one role are alike, so their samples are taken
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -263,7 +263,7 @@
 			b.done(p)
 		}
 		b.planner.Heard(&sharepb.Load{Vm: "other"})
-		if own := b.planner.books.open(time.Now(), b.planner.books.byID["p1"]); own != (work{}) {
+		if own := b.planner.books.open(b.planner.books.byID["p1"]); own != (work{}) {
 			t.Errorf("left in the books: %+v", own)
 		}
 		b.planner.Heard(&sharepb.Load{Vm: "other", Work: []*sharepb.Work{{Endpoint: loadshare.Hash("p1"), PrefillTokens: 20_000}}})
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -117,7 +117,7 @@
 	if e == nil {
 		return now
 	}
-	return now.Add(p.paceOf(e.Service, e.Role).time(p.books.open(now, k).prefill))
+	return now.Add(p.paceOf(e.Service, e.Role).time(p.books.open(k).prefill))
 }
 
 // Own is what this VM tells the others.
@@ -126,7 +126,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.books.expire(p.now())
-	work, placed := p.books.told(p.now())
+	work, placed := p.books.told()
 	return loadshare.Report{Work: work, Placed: placed, Changing: changing, Refusing: p.books.refusing(p.now())}
 }
 
@@ -144,7 +144,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if k := p.books.byID[id]; k != nil {
-		return p.books.open(p.now(), k).runs
+		return p.books.open(k).runs
 	}
 	return 0
 }
@@ -227,7 +227,7 @@
 	var least time.Duration
 	for _, e := range d.endpoints {
 		k := d.p.books.of(e)
-		open := d.p.books.open(d.now, k).runs
+		open := d.p.books.open(k).runs
 		cost := d.wayTo(e) + time.Duration(float64(open)/float64(max(1, e.Slots))*float64(d.p.tuning.ServiceTime)) + d.rest(k)
 		if best == nil || cost < least {
 			best, least = e, cost
@@ -258,15 +258,10 @@
 	}
 	d.p.uplink.send(d.now, headBytes+len(d.r.Body))
 	k := d.p.books.of(e)
-	h := &hold{book: k, zone: e.Zone, ticket: ticket, work: w, ahead: d.p.books.open(d.now, k).prefill, since: d.now.Add(d.linkWait()), trip: d.wayTo(e)}
+	h := &hold{book: k, zone: e.Zone, ticket: ticket, work: w, ahead: d.p.books.open(k).prefill, since: d.now.Add(d.linkWait()), trip: d.wayTo(e)}
 	if k.cache != nil {
 		h.pace = d.p.paceOf(e.Service, e.Role)
 	}
-	if w.prefill.tokens > 0 {
-		h.begins = h.since.Add(h.trip/2 + aheadDoubt*h.pace.time(h.ahead) + beginDoubt)
-		h.takes = h.pace.time(w.prefill)
-		k.prefilling[h] = struct{}{}
-	}
 	k.own.add(w)
 	return h, true
 }
--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -14,10 +14,10 @@
 	defer p.mu.Unlock()
 	out := rolechange.Pressure{Slots: s.Engine.Slots}
 	var wait time.Duration
-	prefill, now := 0, p.now()
+	prefill := 0
 	for _, e := range p.directory.Snapshot().Service(s.Name) {
 		k := p.books.of(e)
-		open := p.books.open(now, k)
+		open := p.books.open(k)
 		if e.Role != engine.Prefill {
 			out.Running += open.runs
 			continue
