Open the callers' listener before the readiness check can be answered

The listeners were opened side by side, so a VM that learned its configuration within a millisecond was ready before callers could connect. Until the roster is read a VM takes itself for one of 16; the site's 56 extra retries left it three in the worst case, and the test needs three. That is how it is meant; the line that was missing for such a refusal shows it now.

Ruled out: the second endpoint's choice (the attempt that was cut is repeatable, reached, and the first of two; only the budget is left).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,13 @@
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness)}
 	counters := &http.Server{Handler: http.HandlerFunc(g.serveMetrics)}
 	klog.InfoS("gateway: starting", "settings", g.settings)
-	group.Go(func() error { return g.serve(callers, g.settings.Callers) })
+	// Callers can connect before the readiness check can say so: otherwise a VM that
+	// learns its configuration at once is ready while it refuses connections.
+	listener, err := g.listen(g.settings.Callers)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return serveOn(callers, listener) })
 	group.Go(func() error { return g.serve(readiness, g.settings.Readiness) })
 	if g.settings.Metrics != "" {
 		group.Go(func() error { return g.serve(counters, g.settings.Metrics) })
@@ -192,12 +198,25 @@
 	}
 }
 
+// serve listens at an address and serves until the server is shut down.
 func (g *Gateway) serve(s *http.Server, address string) error {
-	l, err := g.network.Listen(address)
+	l, err := g.listen(address)
 	if err != nil {
 		return err
 	}
+	return serveOn(s, l)
+}
+
+func (g *Gateway) listen(address string) (net.Listener, error) {
+	l, err := g.network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
 	klog.InfoS("gateway: listening", "address", address)
+	return l, nil
+}
+
+func serveOn(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -260,6 +260,7 @@
 		return failed
 	case !j.relay.cfg.Budget(j.req.Service).Take():
 		refusedRetry(failure.RetryBudget)
+		klog.InfoS("relay: not tried elsewhere, the budget of retries is spent", "request", j.req.ID, "service", j.req.Service, "attempts", j.result.Attempts)
 		return failed
 	}
 	retried(failed.Code)
