Send a kept failure only while no other endpoint's answer has begun

Ruled out: the stream reader (events pass whole or not at all).

Change: a kept answer is delivered only if nothing was begun. The case is a test that failed before (body "id: 1 ... a", status 500).

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -274,9 +274,10 @@
 }
 
 // end notes the request's final failure, with what is known of all attempts. An answer
-// that an endpoint made is delivered rather than a failure of our own.
+// that an endpoint made is delivered rather than a failure of our own, unless another
+// endpoint's answer has begun: what follows would look like its end.
 func (j *job) end(ctx context.Context, failed *failure.Request) {
-	if j.spare != nil && ctx.Err() == nil {
+	if j.spare != nil && !j.result.Begun && ctx.Err() == nil {
 		if failed = j.deliver(j.spare); failed == nil {
 			return
 		}
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -89,6 +89,8 @@
 			outcome{Status: 200, Body: e(1), Begun: true, Calls: []string{"prefill p", "prefill q", "send c import kv2"}, Taken: 1, Attempts: 2}},
 		{"what may have run once stays so", world{route: letter, plans: []string{"p/d", "q/c"}, budget: 1, reads: []step{ok()}, sends: []step{lost(), lost()}},
 			outcome{Code: failure.EndpointBroke, Ran: failure.Unknown, Calls: []string{"prefill p", "send d import kv1", "send c"}, Taken: 1, Attempts: 2}},
+		{"an endpoint's failure is not sent after what another has begun", world{route: letter, plans: []string{"a", "b"}, budget: 1, sends: []step{bad("a"), cut(e(1))}},
+			outcome{Status: 200, Body: e(1), Begun: true, Code: failure.AnswerTruncated, Ran: failure.Done, Calls: []string{"send a", "send b"}, Taken: 1, Attempts: 2}},
 		{"after a lost cache the serving engine reads the prompt itself", world{route: letter, plans: []string{"p/d", "q/c"}, budget: 1, reads: []step{ok()}, sends: []step{cut(e(1)), ok(e(2))}},
 			outcome{Status: 200, Body: e(1) + e(2), Begun: true, Calls: []string{"prefill p", "send d import kv1", "send c after 1"}, Taken: 1, Attempts: 2}},
 	} {
