Do not bound the pauses of a stream that goes on after a kept failure

The limit went on between the events of a stream, which was then broken off for a pause though no other attempt was left.

Change: once the stream has begun, its pauses are not bounded. The test fails without that (the stream ends after its first event).

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -94,13 +94,23 @@
 		if err != nil {
 			return broken(err)
 		}
-		dog.Reset(j.gap())
+		j.awaitNext(dog)
 		if failed := j.pass(answer, e, watch); failed != nil {
 			return failed
 		}
 	}
 }
 
+// awaitNext bounds the time until the next event, unless this is the last attempt: one
+// that followed a failure kept for the caller.
+func (j *job) awaitNext(dog *watchdog.Watchdog) {
+	if j.spare != nil {
+		dog.Pause()
+		return
+	}
+	dog.Reset(j.gap())
+}
+
 // streamEnded ends a stream that came to its true end. One without any event is
 // a whole answer all the same.
 func (j *job) streamEnded(answer Answer) *failure.Request {
