Predict a prefill once for each engine looked at, and name the replay's short prompt

Found on reading the change: the time of an engine's open prefill and the request's own was computed twice for each engine that a decision looks at, and two loads of the replay drew the same prompt in two places.

Lint and the tests of placement, gateway and slopes pass.

--- a/placement/engines.go
+++ b/placement/engines.go
@@ -155,10 +155,11 @@
 	reused := d.reuseOn(e, chunks)
 	uncached := max(1, tokens-reused.tokens)
 	own := amountOf(uncached, reused.tokens)
-	first := d.linkWait() + d.sendTime() + d.wayTo(e) + reused.copying + d.prefillTime(e, d.p.books.open(k).prefill.plus(own))
+	read := d.prefillTime(e, d.p.books.open(k).prefill.plus(own))
 	return option{
 		serve: e, copyFrom: reused.copyFrom, uncached: uncached, cached: reused.tokens,
-		first: first, wait: d.linkWait() + d.prefillTime(e, d.p.books.open(k).prefill.plus(own)) - d.prefillTime(e, own),
+		first: d.linkWait() + d.sendTime() + d.wayTo(e) + reused.copying + read,
+		wait:  d.linkWait() + read - d.prefillTime(e, own),
 	}
 }
 
--- a/placement/loads_test.go
+++ b/placement/loads_test.go
@@ -81,9 +81,7 @@
 func TestReplayOfAChangeWhoseAuthorDies(t *testing.T) {
 	for seed := range uint64(5) {
 		r := newReplay(t, seed, 4, 8, 4, slowPrefill, slowDecode)
-		r.load(60, 8*time.Second, func(n int) ([]prompt.Part, time.Duration) {
-			return []prompt.Part{{ID: fmt.Sprint("q", n%20), Tokens: 300}, {ID: fmt.Sprint("own", n), Tokens: 500}}, 300 * time.Millisecond
-		})
+		r.load(60, 8*time.Second, question)
 		r.run(2 * time.Second)
 		for _, vm := range r.vms {
 			vm.planner.Heard(&sharepb.Load{Vm: "author", Changing: []uint32{loadshare.Hash("d0")}})
@@ -103,9 +101,7 @@
 func TestReplayOfAnEngineThatRefuses(t *testing.T) {
 	for seed := range uint64(5) {
 		r := newReplay(t, seed, 6, 8, 3, slowPrefill, slowDecode)
-		r.load(60, 6*time.Second, func(n int) ([]prompt.Part, time.Duration) {
-			return []prompt.Part{{ID: fmt.Sprint("q", n%20), Tokens: 300}, {ID: fmt.Sprint("own", n), Tokens: 500}}, 300 * time.Millisecond
-		})
+		r.load(60, 6*time.Second, question)
 		r.run(2 * time.Second)
 		began := r.now
 		r.engines["d0"].refuses = true
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -251,6 +251,11 @@
 	return []prompt.Part{{ID: fmt.Sprint("s", subject), Tokens: 6000 + subject*150}, {ID: fmt.Sprint("own", n), Tokens: own}}, 600 * time.Millisecond
 }
 
+// question is a short prompt behind a small shared part.
+func question(n int) ([]prompt.Part, time.Duration) {
+	return []prompt.Part{{ID: fmt.Sprint("q", n%20), Tokens: 300}, {ID: fmt.Sprint("own", n), Tokens: 500}}, 300 * time.Millisecond
+}
+
 func (r *replay) run(length time.Duration) {
 	end := r.now.Add(length)
 	for len(r.events) > 0 && !r.events[0].at.After(end) {
