Keep what is known of an endpoint under its start, and use no row that cannot be understood

Cause: an endpoint may start again under its ID; all that was kept by the ID (cache model, open work, refusals, ejection, role orders, connections) was then taken for the new start's. A row of another writer left in force what was known by its name before. Ruled out: trusting the order of rows alone, since the last words of a process that died may be written after the first of the next. Change: Registration.Born and Incarnation; books, health, news of load, role orders and connection pools go by the incarnation; an earlier start changes nothing; a row without a usable state, address, zone, slots or start names no endpoint, is counted and logged, and the others hold. The engine's account and its row must name the same start before it is ordered.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,11 @@
 
 // Registration is what an endpoint's row in the store says.
 type Registration struct {
-	// ID is unique to one start of the endpoint.
+	// ID names the endpoint. One that starts again may keep it.
 	ID string
+	// Born is when this start of the endpoint began, in Unix milliseconds by its own
+	// clock; zero if it does not say. Of two starts under one ID the larger is the later.
+	Born int64
 	// Version is that of the row.
 	Version uint64
 	// Service is what it serves.
@@ -35,6 +39,16 @@
 	Models map[string]int
 }
 
+// Incarnation names one start of the endpoint. Whatever was learned of an endpoint
+// (its cache, open work, refusals, role orders, connections) is kept under it, so that
+// a start that remembers nothing is not taken for the one before.
+func (r *Registration) Incarnation() string {
+	if r.Born == 0 {
+		return r.ID
+	}
+	return r.ID + "@" + strconv.FormatInt(r.Born, 10)
+}
+
 // Endpoint is one endpoint as last registered. It is immutable.
 type Endpoint struct {
 	Registration
@@ -97,16 +111,27 @@
 // Snapshot returns the newest picture.
 func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
 
-// Put takes in registrations that are new or have changed.
+// Put takes in registrations that are new or have changed. One of an earlier start
+// than the known one changes nothing: the last words of a process that died may arrive
+// after the first of the next.
 func (d *Directory) Put(list ...Registration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range list {
-		d.byID[r.ID] = &Endpoint{Registration: r}
+		d.byID[r.ID] = d.newer(r)
 	}
 	d.publish()
 }
 
+// newer returns the endpoint of a registration, or the known one if that is of a later
+// start. The caller holds mu.
+func (d *Directory) newer(r Registration) *Endpoint {
+	if known := d.byID[r.ID]; known != nil && known.Born > r.Born {
+		return known
+	}
+	return &Endpoint{Registration: r}
+}
+
 // Remove drops endpoints whose rows are gone.
 func (d *Directory) Remove(ids ...string) {
 	d.mu.Lock()
@@ -137,7 +162,7 @@
 	defer d.mu.Unlock()
 	next := make(map[string]*Endpoint, len(list))
 	for _, r := range list {
-		next[r.ID] = &Endpoint{Registration: r}
+		next[r.ID] = d.newer(r)
 	}
 	for id, old := range d.byID {
 		if next[id] != nil || !keepMissing {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -72,3 +72,27 @@
 	}
 	want(t, d, "s")
 }
+
+// What a start of an endpoint said of itself may arrive after the first words of the
+// next one, which keeps its ID.
+func TestEarlierStartChangesNothing(t *testing.T) {
+	start := func(born int64, address string) Registration {
+		return Registration{ID: "a", Born: born, Service: "s", Address: address}
+	}
+	d := New(nil)
+	d.Put(start(5, "old"))
+	d.Put(start(9, "new"))
+	d.Put(start(5, "late"))
+	if e := d.Snapshot().Endpoint("a"); e.Address != "new" || e.Incarnation() != "a@9" {
+		t.Errorf("a late word of an earlier start counts: %+v", e)
+	}
+	d.Replace([]Registration{start(5, "late")}, false)
+	if e := d.Snapshot().Endpoint("a"); e.Address != "new" {
+		t.Errorf("a list with a late word of an earlier start counts: %+v", e)
+	}
+	d.Remove("a")
+	d.Put(start(5, "again"))
+	if e := d.Snapshot().Endpoint("a"); e.Address != "again" {
+		t.Errorf("a removed start still counts: %+v", e)
+	}
+}
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// serves tells whether the configuration names the service of an endpoint. A row that
+// some other writer left in the table may name an address that is no engine's.
+func (g *Gateway) serves(e *directory.Endpoint) bool {
+	s := g.state.config.Load().Service(e.Service)
+	return s != nil && s.Engine != nil
+}
+
 // awaitConfig waits until a configuration is known, which tells what engines can hold.
 func (g *Gateway) awaitConfig(ctx context.Context) bool {
 	for g.state.config.Load() == nil {
@@ -55,7 +62,7 @@
 }
 
 func (g *Gateway) learnCache(ctx context.Context, e *directory.Endpoint) {
-	if !loop.Sleep(ctx, rand.N(heldSpread)) || !g.awaitConfig(ctx) || g.planner.KnowsCache(e.ID) {
+	if !loop.Sleep(ctx, rand.N(heldSpread)) || !g.awaitConfig(ctx) || !g.serves(e) || g.planner.KnowsCache(e.ID) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
@@ -65,6 +72,6 @@
 		klog.InfoS("gateway: what an engine holds is not known", "endpoint", e.ID, "err", err)
 		return
 	}
-	g.planner.Holds(e.ID, parts)
+	g.planner.Holds(e, parts)
 	klog.InfoS("gateway: learned what an engine holds", "endpoint", e.ID, "parts", len(parts))
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -93,12 +93,19 @@
 // takeEndpoints takes in the whole table.
 func (g *Gateway) takeEndpoints(rows []table.Row, afterOutage bool) {
 	list := make([]directory.Registration, 0, len(rows))
+	var malformed []string
 	for _, row := range rows {
 		if r, ok := g.decodeEndpoint(row); ok {
 			list = append(list, r)
+		} else {
+			malformed = append(malformed, row.Key.Row)
 		}
 	}
-	g.lapse(g.directory.Replace(list, afterOutage))
+	lapsed := g.directory.Replace(list, afterOutage)
+	if len(malformed) > 0 {
+		g.directory.Remove(malformed...)
+	}
+	g.lapse(lapsed)
 	g.state.listed.Store(true)
 	klog.InfoS("gateway: endpoints read", "count", len(list), "afterOutage", afterOutage)
 }
@@ -110,14 +117,19 @@
 	var lapsed []string
 	var puts []directory.Registration
 	for _, c := range changes {
+		r, known := directory.Registration{}, false
 		if !c.Deleted {
-			puts = g.appendEndpoint(puts, c.Row)
+			r, known = g.decodeEndpoint(c.Row)
+		}
+		if known {
+			logEndpoint(r)
+			puts = append(puts, r)
 			continue
 		}
 		g.putEndpoints(puts)
 		puts = nil
 		id := c.Row.Key.Row
-		if afterOutage {
+		if c.Deleted && afterOutage {
 			g.directory.Lapse(id)
 			lapsed = append(lapsed, id)
 			continue
@@ -135,22 +147,19 @@
 	}
 }
 
-// appendEndpoint adds the registration of a row to the list, unless it cannot be
-// understood.
-func (g *Gateway) appendEndpoint(list []directory.Registration, row table.Row) []directory.Registration {
-	r, ok := g.decodeEndpoint(row)
-	if !ok {
-		return list
-	}
-	klog.InfoS("gateway: endpoint registered", "endpoint", r.ID, "service", r.Service, "address", r.Address,
-		"zone", r.Zone, "draining", r.Draining, "role", r.Role, "version", row.Version)
-	return append(list, r)
+func logEndpoint(r directory.Registration) {
+	klog.InfoS("gateway: endpoint registered", "endpoint", r.ID, "born", r.Born, "service", r.Service, "address", r.Address,
+		"zone", r.Zone, "draining", r.Draining, "role", r.Role, "version", r.Version)
 }
 
+// decodeEndpoint reads a registration. A row that cannot be understood names no
+// endpoint: what it says may come from another writer, so that not even the address
+// that was known before can be trusted. The next heartbeat of a live endpoint mends it.
 func (g *Gateway) decodeEndpoint(row table.Row) (directory.Registration, bool) {
 	r, err := g.platform.DecodeEndpoint(row)
 	if err != nil {
-		klog.ErrorS(err, "gateway: endpoint not understood, what was known of it stays")
+		malformedEndpoints.Inc()
+		klog.ErrorS(err, "gateway: endpoint not understood, it gets no work", "endpoint", row.Key.Row, "version", row.Version)
 	}
 	return r, err == nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 // New returns a gateway that has done nothing yet.
 func New(s Settings, p Platform, n network.Network) *Gateway {
 	g := &Gateway{settings: s, platform: p, network: n, state: &state{}, started: time.Now()}
-	g.directory = directory.New(func(old, now *directory.Snapshot) { g.planner.SetEndpoints(old, now) })
+	g.directory = directory.New(g.setEndpoints)
 	g.planner = placement.New(placement.Config{
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
 		Ordered: func() []string { return g.roles.Changing() }, Tuning: s.Placement,
@@ -109,6 +109,26 @@
 	return g
 }
 
+// setEndpoints takes in a new picture of the endpoints. Connections to a start that is
+// over are closed at once: they may look open, and a request sent on one is lost.
+func (g *Gateway) setEndpoints(old, now *directory.Snapshot) {
+	g.planner.SetEndpoints(old, now)
+	if restarted(old, now) {
+		g.platform.Forget(now)
+	}
+}
+
+// restarted tells whether an endpoint has started again under its ID.
+func restarted(old, now *directory.Snapshot) bool {
+	for _, e := range now.All() {
+		if before := old.Endpoint(e.ID); before != nil && before.Born != e.Born {
+			klog.InfoS("gateway: endpoint has started again", "endpoint", e.ID, "before", before.Born, "born", e.Born)
+			return true
+		}
+	}
+	return false
+}
+
 // Reload takes in settings that have changed while the process runs. The bounds
 // of retries and the figures of placements apply at once; the others are told of in
 // the log and apply at the next start.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,9 @@
 	routes.NonIdempotent: "non-idempotent", routes.Idempotent: "idempotent", routes.Stream: "stream",
 }
 
+// malformedEndpoints counts rows of endpoints that could not be understood.
+var malformedEndpoints = metrics.NewCounter("springweir_endpoint_rows_malformed_total")
+
 // observe counts a request that was relayed and takes its times.
 func observe(req *relay.Request, result relay.Result) {
 	kind := kindNames[req.Route.Kind]
--- a/placement/books.go
+++ b/placement/books.go
@@ -35,6 +35,7 @@
 // book is what this VM knows of one endpoint beyond its registration.
 type book struct {
 	id   string
+	born int64
 	hash uint32
 	own  work
 	// cache is nil for an endpoint that is no engine.
@@ -121,15 +122,25 @@
 	return w
 }
 
-// of returns the book of an endpoint.
+// of returns the book of an endpoint. A start after the known one gets a new book: it
+// holds nothing of what the one before was given, and the work that is still open there
+// is given back to the old book. A start before the known one gets a book that nobody
+// else sees.
 func (b *books) of(e *directory.Endpoint) *book {
 	k := b.byID[e.ID]
-	if k == nil {
-		k = &book{id: e.ID, hash: loadshare.Hash(e.ID)}
-		b.byID[e.ID] = k
-		b.byHash[k.hash] = k
+	if k != nil && k.born == e.Born {
+		return k
 	}
-	return k
+	fresh := &book{id: e.ID, born: e.Born, hash: loadshare.Hash(e.Incarnation())}
+	if k != nil && k.born > e.Born {
+		return fresh
+	}
+	if k != nil {
+		delete(b.byHash, k.hash)
+	}
+	b.byID[e.ID] = fresh
+	b.byHash[fresh.hash] = fresh
+	return fresh
 }
 
 // engine returns the book of an engine, with the model of its cache of so many tokens.
--- a/placement/books_test.go
+++ b/placement/books_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/relay"
@@ -99,3 +100,78 @@
 		}
 	})
 }
+
+// restart registers an engine that started again under its ID.
+func (b *bed) restart(id string, born int64, role engine.Role) {
+	b.dir.Put(directory.Registration{ID: id, Born: born, Service: "llm", Zone: "a", Slots: 4, Role: role})
+}
+
+// An engine that starts again under its ID holds nothing and has nothing to do: the work
+// and the refusals of the start before are not its own, nor what other VMs told of that.
+func TestRestartedEngineIsNotTakenForTheOneBefore(t *testing.T) {
+	inTime(t, func(t *testing.T, b *bed) {
+		b.restart("d1", 1, engine.Decode)
+		open := b.plan(b.letter("s"), relay.Try{Number: 1, Whole: true})
+		for range 3 {
+			time.Sleep(restMax)
+			b.plan(b.letter("s"), relay.Try{Number: 1, Whole: true}).Watch.Finished(refusedAttempt(), false)
+		}
+		b.planner.Heard(&sharepb.Load{Vm: "other", Work: []*sharepb.Work{{Endpoint: loadshare.Hash("d1@1"), PrefillTokens: 20_000}}})
+		if !b.planner.KnowsCache("d1") || len(b.planner.Own().Refusing) != 1 {
+			t.Fatal("the first start is not known")
+		}
+
+		b.restart("d1", 2, engine.Decode)
+		k := b.planner.books.of(b.dir.Snapshot().Endpoint("d1"))
+		if b.planner.books.open(k) != (work{}) || k.refusals != 0 || k.cache != nil {
+			t.Errorf("the new start is believed to have %+v open, %d refusals, cache %v", b.planner.books.open(k), k.refusals, k.cache)
+		}
+		b.planner.Heard(&sharepb.Load{Vm: "third", Placed: []*sharepb.Placed{{
+			Endpoint: loadshare.Hash("d1@1"), Part: []uint32{loadshare.Hash("all")}, Tokens: []uint32{2500},
+		}}})
+		open.Watch.Finished(broke(), false)
+		if b.planner.KnowsCache("d1") || b.planner.books.open(k) != (work{}) {
+			t.Error("the end of the first start's work, or late news of it, counts for the second")
+		}
+		if own := b.planner.Own(); len(own.Work) != 0 || len(own.Refusing) != 0 {
+			t.Errorf("told of the new start: %+v", own)
+		}
+	})
+}
+
+// A look at the start before, from a snapshot taken earlier, does not bring it back.
+func TestEarlierStartOfAnEngineIsNotTakenUpAgain(t *testing.T) {
+	inTime(t, func(t *testing.T, b *bed) {
+		b.restart("d1", 1, engine.Decode)
+		before := b.dir.Snapshot().Endpoint("d1")
+		b.restart("d1", 2, engine.Decode)
+		now := b.planner.books.of(b.dir.Snapshot().Endpoint("d1"))
+		if b.planner.books.of(before) == now || b.planner.books.byID["d1"] != now {
+			t.Error("two starts share a book")
+		}
+	})
+}
+
+// A start that was ejected for its failures does not keep the next one from work.
+func TestRestartedEngineIsNotEjected(t *testing.T) {
+	inTime(t, func(t *testing.T, b *bed) {
+		b.restart("d1", 1, engine.Decode)
+		b.restart("d2", 1, engine.Decode)
+		for range 20 {
+			plan := b.plan(b.letter("s"), relay.Try{Number: 1, Whole: true})
+			var failed *failure.Request
+			if plan.Serve.ID == "d1" {
+				failed = broke()
+			}
+			plan.Watch.Finished(failed, false)
+		}
+		usable := func() int { return len(b.planner.usable("llm", nil)) }
+		if usable() != 1 {
+			t.Fatalf("%d engines usable, want the sound one", usable())
+		}
+		b.restart("d1", 2, engine.Decode)
+		if usable() != 2 {
+			t.Error("the ejection of the start before holds")
+		}
+	})
+}
--- a/placement/caches.go
+++ b/placement/caches.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/prompt"
@@ -13,10 +14,10 @@
 const toldParts = 64
 
 // Holds takes in what an engine itself says that it holds, to be told to the others.
-func (p *Planner) Holds(id string, parts []prompt.Part) {
+func (p *Planner) Holds(e *directory.Endpoint, parts []prompt.Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	k := p.bookByHash(loadshare.Hash(id))
+	k := p.bookByHash(loadshare.Hash(e.Incarnation()))
 	if k == nil {
 		return
 	}
@@ -44,7 +45,7 @@
 		return nil
 	}
 	for _, e := range p.directory.Snapshot().All() {
-		if loadshare.Hash(e.ID) != hash {
+		if loadshare.Hash(e.Incarnation()) != hash {
 			continue
 		}
 		s := config.Service(e.Service)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -81,7 +81,7 @@
 		}
 	}
 	for _, e := range now.All() {
-		p.health.Set(e.ID, e.ID, []string{e.Service + "/" + string(e.Role)})
+		p.health.Set(e.ID, e.Incarnation(), []string{e.Service + "/" + string(e.Role)})
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,8 +133,11 @@
 // changing are the hashes of the engines that this VM has ordered to change.
 func (p *Planner) changing() []uint32 {
 	var list []uint32
+	s := p.directory.Snapshot()
 	for _, id := range p.ordered() {
-		list = append(list, loadshare.Hash(id))
+		if e := s.Endpoint(id); e != nil {
+			list = append(list, loadshare.Hash(e.Incarnation()))
+		}
 	}
 	return list
 }
--- a/rolechange/keeper.go
+++ b/rolechange/keeper.go
@@ -139,7 +139,7 @@
 		if e == nil {
 			break
 		}
-		k.note(e.ID, to)
+		k.note(e, to)
 		chosen = append(chosen, e)
 	}
 	if len(chosen) == 0 || !loop.Sleep(ctx, k.cfg.Announce()) {
--- a/rolechange/order.go
+++ b/rolechange/order.go
@@ -14,7 +14,9 @@
 
 // change is an order under way.
 type change struct {
-	to    engine.Role
+	to engine.Role
+	// born is the start of the engine that was ordered. A later one knows of no order.
+	born  int64
 	since time.Time
 }
 
@@ -40,7 +42,7 @@
 	for id, c := range k.changing {
 		e := s.Endpoint(id)
 		switch {
-		case e == nil, e.Role == c.to:
+		case e == nil, e.Role == c.to, e.Born != c.born:
 			klog.InfoS("rolechange: change settled", "endpoint", id, "role", c.to, "took", now.Sub(c.since), "gone", e == nil)
 			delete(k.changing, id)
 		case now.Sub(c.since) > changeTimeout:
@@ -60,6 +62,11 @@
 		k.drop(e.ID)
 		return
 	}
+	if state.Born != e.Born {
+		klog.InfoS("rolechange: engine has started again, nothing ordered", "endpoint", e.ID, "registered", e.Born, "born", state.Born)
+		k.drop(e.ID)
+		return
+	}
 	if state.Busy || state.Role == to {
 		return // its registration lags, or another order is under way
 	}
@@ -77,10 +84,10 @@
 	}
 }
 
-func (k *Keeper) note(id string, to engine.Role) {
+func (k *Keeper) note(e *directory.Endpoint, to engine.Role) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.changing[id] = change{to: to, since: k.cfg.Now()}
+	k.changing[e.ID] = change{to: to, born: e.Born, since: k.cfg.Now()}
 }
 
 func (k *Keeper) drop(id string) {
--- a/rolechange/rolechange.go
+++ b/rolechange/rolechange.go
@@ -31,6 +31,8 @@
 // State is what an engine says of itself.
 type State struct {
 	Role engine.Role
+	// Born is the start that answers, as in directory.Registration.
+	Born int64
 	// Busy is set while an order is under way.
 	Busy bool
 	// Taken is the number of orders taken since its start.
