Let the VMs of a zone read the followed tables from the first of them

Cause: each VM followed two tables at the store by itself and read a third now and then. Ruled out: longer waits alone leave the wakes, one for each VM and change, and find a store that fell silent later than a new configuration may take. Telling the rows in datagrams would need order and gaps of its own, which the store's versions give for nothing. Change: package feedshare. The first VM of a zone in the collectors' order follows the store; the others ask it, then the next, then the store. Only answers of the store are passed on, and only while it answered within a third of the bound. The roster follows its table the same way; a contender for the lease that is not among the first does not look at once; the follower's pause moved to where the store is asked. memtable can be followed. Tests play a zone under eight faults of its readers in virtual time; each change is known within the bound on all VMs that reach the store.

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -85,6 +85,13 @@
 	TableSuperseded Reason = "table-superseded"
 	// TableHistoryGone is a question for changes that the table no longer keeps.
 	TableHistoryGone Reason = "table-history-gone"
+
+	// FeedNotReader is a question for a table to a VM that has no news of its own of it.
+	FeedNotReader Reason = "feed-not-reader"
+	// FeedBehind is an answer of a VM that knows less of a table than the one that asks.
+	FeedBehind Reason = "feed-behind"
+	// FeedSilent is a VM that did not answer a question for a table.
+	FeedSilent Reason = "feed-silent"
 	// ObjectUnavailable is an object store call that failed.
 	ObjectUnavailable Reason = "object-unavailable"
 	// ObjectInvalid is an object that breaks a limit of the store.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -13,7 +13,7 @@
 // followConfig puts each new configuration in force.
 func (g *Gateway) followConfig(ctx context.Context) {
 	f := &table.Follower{
-		Feed:  g.platform.Feed,
+		Feed:  g.configs,
 		Table: g.platform.Config.Table,
 		OnList: func(rows []table.Row, _ bool) {
 			for _, row := range rows {
@@ -60,18 +60,11 @@
 // seconds.
 const lapseGrace = 2 * time.Second
 
-// drainPart is the part of the time within which a leaving endpoint must get no new
-// work that endpoints' changes are left to gather. Where endpoints start, leave or
-// change their roles one after the other, every VM would ask for each of them; the
-// rest of that time is for a store that is slow and for one question that is lost.
-const drainPart = 3
-
 // followEndpoints keeps the directory.
 func (g *Gateway) followEndpoints(ctx context.Context) {
 	f := &table.Follower{
-		Feed:  g.platform.Feed,
+		Feed:  g.endpoints,
 		Table: g.platform.Endpoints,
-		Pause: g.settings.DrainWithin / drainPart,
 		OnList: func(rows []table.Row, afterOutage bool) {
 			first := !g.state.listed.Load()
 			g.takeEndpoints(rows, afterOutage)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/feedshare"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/loadshare"
@@ -30,7 +31,7 @@
 	// Store is the address of the platform's store.
 	Store string
 	// Callers, Readiness and Metrics are the addresses to listen on (host:port),
-	// Peers where datagrams of the other VMs are taken.
+	// Peers where datagrams and questions of the other VMs are taken.
 	Callers, Readiness, Metrics, Peers string
 	// Strength orders the VMs of a zone by what they can bear, such as the speed of
 	// their links in Mbit/s.
@@ -40,8 +41,9 @@
 	// BalancerDelay is how long the platform's balancer may go on sending new
 	// connections after the readiness check first failed.
 	BalancerDelay time.Duration
-	// DrainWithin is the time within which a leaving endpoint must get no new work.
-	DrainWithin time.Duration
+	// DrainWithin is the time within which a leaving endpoint must get no new work, and
+	// ApplyWithin that within which a new configuration must be in force.
+	DrainWithin, ApplyWithin time.Duration
 	// Lease is how long after an order of one VM to an engine no other VM may
 	// order it.
 	Lease time.Duration
@@ -87,6 +89,8 @@
 	roster    *roster.Roster
 	exchange  *loadshare.Exchange
 	roles     *rolechange.Keeper
+	// configs, endpoints and vms are where the tables are read from.
+	configs, endpoints, vms *feedshare.Source
 }
 
 // New returns a gateway that has done nothing yet.
@@ -99,7 +103,8 @@
 	})
 	g.budgets = newBudgets(s.Retry)
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Boot: roster.NewBoot()}
-	g.roster = roster.New(p.Rows, self, g.setPeers)
+	g.newSources()
+	g.roster = roster.New(p.Rows, g.vms, self, g.setPeers)
 	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Own: g.planner.Own, Heard: g.heard})
 	g.roles = rolechange.New(rolechange.Config{
 		VM: s.VM, Rows: p.Rows, Directory: g.directory, Services: g.state.config.Load,
@@ -149,6 +154,7 @@
 	group, work := errgroup.WithContext(serving)
 	callers := g.callerServer()
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness)}
+	feeds := &http.Server{Handler: feedshare.Handler(g.configs, g.endpoints, g.vms), ReadHeaderTimeout: headerTimeout}
 	counters := &http.Server{Handler: http.HandlerFunc(g.serveMetrics)}
 	klog.InfoS("gateway: starting", "settings", g.settings)
 	// Callers can connect before the readiness check can say so: otherwise a VM that
@@ -159,11 +165,12 @@
 	}
 	group.Go(func() error { return serveOn(callers, listener) })
 	group.Go(func() error { return g.serve(readiness, g.settings.Readiness) })
+	group.Go(func() error { return g.serve(feeds, g.settings.Peers) })
 	if g.settings.Metrics != "" {
 		group.Go(func() error { return g.serve(counters, g.settings.Metrics) })
 	}
-	group.Go(func() error { g.followConfig(work); return nil })
-	group.Go(func() error { g.followEndpoints(work); return nil })
+	group.Go(func() error { g.awaitPeers(work); g.followConfig(work); return nil })
+	group.Go(func() error { g.awaitPeers(work); g.followEndpoints(work); return nil })
 	group.Go(func() error { g.forgetEndpoints(work); return nil })
 	group.Go(func() error { g.roster.Run(work); return nil })
 	group.Go(func() error { g.roles.Run(duties); return nil })
@@ -177,6 +184,7 @@
 	end()
 	_ = callers.Close()
 	_ = readiness.Close()
+	_ = feeds.Close()
 	_ = counters.Close()
 	return waitFor(group, endLimit)
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -59,9 +59,9 @@
 func (h *Holder) contend(ctx context.Context) *Lease {
 	var obs observation
 	wait := loop.Jitter(h.cfg.Poll) / 2
-	for loop.Sleep(ctx, wait) {
+	for first := true; loop.Sleep(ctx, wait); first = false {
 		wait = h.cfg.pollDelay()
-		if !h.cfg.eligible() {
+		if !h.cfg.eligible() || first && h.cfg.rank() >= activeContenders {
 			continue
 		}
 		l, next, err := h.attempt(ctx, &obs)
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -118,6 +118,21 @@
 // included.
 func (x *Exchange) Spread() time.Duration { return 4 * x.interval() }
 
+// Before returns the VMs of the own zone that come before this one in the order of
+// collectors, from the collector on, at most n. There are none in a small region.
+func (x *Exchange) Before(n int) []Peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.region.before(time.Now(), n)
+}
+
+// Collects tells whether this VM is the collector of its zone.
+func (x *Exchange) Collects() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.region.collects(time.Now())
+}
+
 // Leave makes all later datagrams say that this VM is about to stop.
 func (x *Exchange) Leave() {
 	x.mu.Lock()
--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -106,6 +106,25 @@
 	return list
 }
 
+// before returns the VMs of the own zone that come before this one, in the order of
+// collectors and from the collector on, at most n.
+func (r *region) before(now time.Time, n int) []Peer {
+	if !r.collected() {
+		return nil
+	}
+	collector := r.collector(r.self.Zone, now).Name
+	var list []Peer
+	for _, p := range r.zones[r.self.Zone] {
+		if p.Name == r.self.Name || len(list) == n {
+			break
+		}
+		if len(list) > 0 || p.Name == collector {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // otherCollectors are those of the other zones.
 func (r *region) otherCollectors(now time.Time) []Peer {
 	var list []Peer
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/internal/loop"
@@ -21,9 +22,11 @@
 const Table = "springweir-vms"
 
 const (
-	// readPeriod is the mean time between two readings of the table. A VM that
-	// starts tells the others of itself, so this only mends what was lost.
-	readPeriod = 30 * time.Second
+	// followWait is how long a question for changes waits. A VM that starts tells the
+	// others of itself by datagrams, so that nothing hangs on it.
+	followWait = 10 * time.Second
+	// checkPeriod is the mean time between two looks for rows to write or remove.
+	checkPeriod = 30 * time.Second
 	// retryPeriod is the mean time between two tries while the store is away.
 	retryPeriod = time.Second
 	// refreshPeriod is how often a VM writes its row again. A row that is not, for
@@ -33,8 +36,6 @@
 	staleAfter    = 3 * refreshPeriod
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
-	// maxVMs bounds the rows read.
-	maxVMs = 500
 )
 
 // VM is one VM of the system.
@@ -56,21 +57,22 @@
 // concurrent use; mu is a leaf.
 type Roster struct {
 	rows     table.Service
+	feed     table.Feed
 	self     VM
 	onChange func([]VM)
-
-	// The fields up to mu belong to Run.
-	//
-	// written is when the own row was last written.
-	written time.Time
-	// sightings are when each row was first seen as it stands now.
-	sightings map[string]sighting
 	// stale is after which time a row counts as left behind. It differs from VM to
 	// VM, so that one removes a row before all others try.
 	stale time.Duration
+	// listed is closed once the table was read.
+	listed   chan struct{}
+	listOnce sync.Once
 
 	mu     sync.Mutex
 	others map[string]VM
+	// written is when the own row was last written.
+	written time.Time
+	// sightings are the rows as they stand, and since when each does.
+	sightings map[string]sighting
 }
 
 // sighting is a row's version and when this VM first read it. Clocks of VMs differ,
@@ -80,32 +82,48 @@
 	since   time.Time
 }
 
-// New returns a roster that knows nothing yet. onChange is called with all other
-// VMs when they may have changed.
-func New(rows table.Service, self VM, onChange func([]VM)) *Roster {
+// New returns a roster that knows nothing yet. It writes to rows and follows the table
+// by feed. onChange is called with all other VMs when they may have changed.
+func New(rows table.Service, feed table.Feed, self VM, onChange func([]VM)) *Roster {
 	return &Roster{
-		rows: rows, self: self, onChange: onChange, others: map[string]VM{},
-		sightings: map[string]sighting{}, stale: staleAfter + rand.N(refreshPeriod),
+		rows: rows, feed: feed, self: self, onChange: onChange, others: map[string]VM{},
+		sightings: map[string]sighting{}, stale: staleAfter + rand.N(refreshPeriod), listed: make(chan struct{}),
 	}
 }
 
-// Run registers this VM and reads the others until ctx ends.
+// Listed is closed once the other VMs are known.
+func (r *Roster) Listed() <-chan struct{} { return r.listed }
+
+// Run registers this VM and follows the others until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
+	var group errgroup.Group
+	group.Go(func() error { r.keepRow(ctx); return nil })
+	group.Go(func() error { r.follow(ctx); return nil })
+	_ = group.Wait() // neither part fails
+}
+
+// keepRow writes this VM's row, again now and then, and removes those left behind.
+func (r *Roster) keepRow(ctx context.Context) {
 	for ctx.Err() == nil && !r.register(ctx) {
 		loop.Sleep(ctx, loop.Jitter(retryPeriod))
 	}
-	for ctx.Err() == nil {
-		pause := readPeriod
-		if !r.read(ctx) {
-			pause = retryPeriod
-		}
-		if time.Since(r.written) > refreshPeriod {
+	for loop.Sleep(ctx, loop.Jitter(checkPeriod)) {
+		if r.due() {
 			r.register(ctx)
 		}
-		loop.Sleep(ctx, loop.Jitter(pause))
+		for _, row := range r.leftBehind() {
+			r.remove(ctx, row)
+		}
 	}
 }
 
+// due tells whether the own row is to be written again.
+func (r *Roster) due() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.written) > refreshPeriod
+}
+
 // register writes this VM's row. It is written without a condition: only the
 // newest start of a VM writes it, and a stale address costs a few datagrams.
 func (r *Roster) register(ctx context.Context) bool {
@@ -121,82 +139,103 @@
 		klog.InfoS("roster: row not written", "err", err)
 		return false
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.written = time.Now()
 	return true
 }
 
 func key(name string) table.Key { return table.Key{Table: Table, Row: name} }
 
-func (r *Roster) read(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := r.rows.Scan(ctx, Table, "", "", maxVMs)
-	if err != nil {
-		klog.V(1).InfoS("roster: not read", "err", err)
-		return false
-	}
-	if len(rows) == maxVMs {
-		klog.InfoS("roster: there may be more VMs than are read", "read", len(rows))
+// follow keeps up with the table.
+func (r *Roster) follow(ctx context.Context) {
+	f := &table.Follower{
+		Feed: r.feed, Table: Table, Wait: followWait,
+		OnList: func(rows []table.Row, _ bool) {
+			r.list(rows)
+			r.listOnce.Do(func() { close(r.listed) })
+		},
+		OnChanges: func(changes []table.Change, _ bool) {
+			if len(changes) > 0 {
+				r.change(changes)
+			}
+		},
+		OnLost: func(err error) { klog.InfoS("roster: VMs cannot be followed, the known ones stay", "err", err) },
 	}
-	rows = r.removeStale(ctx, rows)
-	others := r.decode(rows)
+	f.Run(ctx)
+}
+
+// list takes in the whole table. VMs that only told of themselves are forgotten: they
+// tell it again.
+func (r *Roster) list(rows []table.Row) {
 	r.mu.Lock()
-	r.others = others
+	r.others = map[string]VM{}
+	before := r.sightings
+	r.sightings = map[string]sighting{}
+	for _, row := range rows {
+		r.see(row, before[row.Key.Row])
+	}
+	if _, listed := r.sightings[r.self.Name]; !listed {
+		r.written = time.Time{} // the others took this VM for gone
+	}
 	r.mu.Unlock()
 	r.onChange(r.Others())
-	return true
 }
 
-// decode reads the rows of the other VMs. If the own one is missing, because the
-// others took this VM for gone, it is written again.
-func (r *Roster) decode(rows []table.Row) map[string]VM {
-	others := map[string]VM{}
-	listed := false
-	for _, row := range rows {
-		var vm VM
-		if err := json.Unmarshal(row.Value, &vm); err != nil {
-			klog.ErrorS(err, "roster: row not understood", "row", row.Key.Row)
+// change takes in changes, in their order.
+func (r *Roster) change(changes []table.Change) {
+	r.mu.Lock()
+	for _, c := range changes {
+		name := c.Row.Key.Row
+		if !c.Deleted {
+			r.see(c.Row, r.sightings[name])
 			continue
 		}
-		if vm.Name == r.self.Name {
-			listed = true
-			continue
+		delete(r.others, name)
+		delete(r.sightings, name)
+		if name == r.self.Name {
+			r.written = time.Time{}
 		}
-		others[vm.Name] = vm
 	}
-	if !listed {
-		r.written = time.Time{}
+	r.mu.Unlock()
+	r.onChange(r.Others())
+}
+
+// see takes in a row, given how it was seen before. The caller holds mu.
+func (r *Roster) see(row table.Row, before sighting) {
+	if before.version != row.Version {
+		before = sighting{version: row.Version, since: time.Now()}
+	}
+	r.sightings[row.Key.Row] = before
+	var vm VM
+	if err := json.Unmarshal(row.Value, &vm); err != nil || vm.Name != row.Key.Row {
+		klog.ErrorS(err, "roster: row not understood", "row", row.Key.Row)
+		return
+	}
+	if vm.Name != r.self.Name {
+		r.others[vm.Name] = vm
 	}
-	return others
 }
 
-// removeStale removes rows that nobody has written for long, and returns the others.
-// A row that is written again meanwhile stays: it has another version then.
-func (r *Roster) removeStale(ctx context.Context, rows []table.Row) []table.Row {
-	now := time.Now()
-	seen := map[string]sighting{}
-	var fresh []table.Row
-	for _, row := range rows {
-		s, known := r.sightings[row.Key.Row]
-		if !known || s.version != row.Version {
-			s = sighting{version: row.Version, since: now}
-		}
-		seen[row.Key.Row] = s
-		if now.Sub(s.since) > r.stale && row.Key.Row != r.self.Name {
-			r.remove(ctx, row)
-			continue
+// leftBehind returns the rows that nobody has written for long.
+func (r *Roster) leftBehind() []table.Check {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []table.Check
+	for name, s := range r.sightings {
+		if name != r.self.Name && time.Since(s.since) > r.stale {
+			list = append(list, table.Check{Key: key(name), Version: s.version})
 		}
-		fresh = append(fresh, row)
 	}
-	r.sightings = seen
-	return fresh
+	return list
 }
 
-func (r *Roster) remove(ctx context.Context, row table.Row) {
-	_, err := r.rows.Commit(ctx, table.Txn{
-		Checks: []table.Check{{Key: row.Key, Version: row.Version}},
-		Writes: []table.Write{{Key: row.Key, Delete: true}},
-	})
+// remove drops a row that was left behind. One that is written again meanwhile stays: it
+// has another version then.
+func (r *Roster) remove(ctx context.Context, row table.Check) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.rows.Commit(ctx, table.Txn{Checks: []table.Check{row}, Writes: []table.Write{{Key: row.Key, Delete: true}}})
 	klog.InfoS("roster: removed a VM that is gone", "vm", row.Key.Row, "version", row.Version, "err", err)
 }
 
--- a/table/follow.go
+++ b/table/follow.go
@@ -12,9 +12,6 @@
 	// DefaultFeedWait is how long one question for changes waits. A longer wait
 	// makes fewer calls; a shorter one finds a store that fell silent sooner.
 	DefaultFeedWait = 4 * time.Second
-	// DefaultFeedPause is how long changes are left to gather after some were taken
-	// in, so that many that come together cost few questions.
-	DefaultFeedPause = 250 * time.Millisecond
 	// feedRetryMin and feedRetryMax bound the mean pause before a failed
 	// question is asked again; it doubles with each.
 	feedRetryMin = 100 * time.Millisecond
@@ -32,9 +29,6 @@
 	Table string
 	// Wait is how long a question waits for a change; zero takes DefaultFeedWait.
 	Wait time.Duration
-	// Pause is how long changes are left to gather after some were taken in: the
-	// latest that the next one is learned. Zero takes DefaultFeedPause.
-	Pause time.Duration
 	// OnList takes the whole table.
 	OnList func(rows []Row, afterOutage bool)
 	// OnChanges takes changes; there may be none.
@@ -55,9 +49,6 @@
 	if f.Wait == 0 {
 		f.Wait = DefaultFeedWait
 	}
-	if f.Pause == 0 {
-		f.Pause = DefaultFeedPause
-	}
 	f.since = time.Now()
 	for ctx.Err() == nil {
 		rows, at, err := f.Feed.List(ctx, f.Table)
@@ -87,9 +78,6 @@
 		default:
 			f.OnChanges(changes, f.answered())
 			at = max(at, next)
-			if len(changes) > 0 {
-				loop.Sleep(ctx, f.Pause)
-			}
 		}
 	}
 }
--- a/table/memtable/memtable.go
+++ b/table/memtable/memtable.go
@@ -23,6 +23,8 @@
 	tables map[string]*rows
 	faults faults
 	counts Counts
+	// written counts the writes of all rows: the version that followers go by.
+	written table.Version
 }
 
 var _ table.Service = (*Table)(nil)
@@ -35,6 +37,11 @@
 	// floor is the highest version that any deleted row had. A new row starts
 	// above it, so a version never comes back, and no tombstones are kept.
 	floor table.Version
+	// log holds the changes of the table, the newest maxLog of them, and changed is
+	// closed at the next. dropped is the version of the newest one that it lacks.
+	log     []logged
+	changed chan struct{}
+	dropped table.Version
 }
 
 // New returns an empty table service.
@@ -139,16 +146,26 @@
 
 // write writes one row, with t.mu held.
 func (t *Table) write(w table.Write) table.Version {
-	r := t.tables[w.Key.Table]
-	if r == nil {
-		r = &rows{byName: make(map[string]table.Row)}
-		t.tables[w.Key.Table] = r
-	}
+	r := t.of(w.Key.Table)
+	t.written++
 	if w.Delete {
 		r.remove(w.Key.Row)
+		r.note(t.written, table.Change{Row: table.Row{Key: w.Key}, Deleted: true})
 		return table.Absent
 	}
-	return r.put(w)
+	version := r.put(w)
+	r.note(t.written, table.Change{Row: copyRow(r.byName[w.Key.Row])})
+	return version
+}
+
+// of returns a table, which is made if it is not there, with t.mu held.
+func (t *Table) of(name string) *rows {
+	r := t.tables[name]
+	if r == nil {
+		r = &rows{byName: make(map[string]table.Row), changed: make(chan struct{})}
+		t.tables[name] = r
+	}
+	return r
 }
 
 func (r *rows) put(w table.Write) table.Version {
