Tell each VM one sum of the region, work before prompts, at the rate that the link allows

A collector told its 59 members its zone's sum and passed on the sums of four other zones: 25 datagrams a member and round, with the prompts of the burst, under 2,000 a second. Change: collectors tell each other the sums of their zones each 10 ms and their members one sum of the region, as often as half of the link takes; members tell each 20 ms; a round holds 120 prompts at most, so that work does not wait behind them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,7 +105,7 @@
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Boot: roster.NewBoot()}
 	g.newSources()
 	g.roster = roster.New(p.Rows, g.vms, self, g.setPeers)
-	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Own: g.planner.Own, Heard: g.heard})
+	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond, Own: g.planner.Own, Heard: g.heard})
 	g.roles = rolechange.New(rolechange.Config{
 		VM: s.VM, Rows: p.Rows, Directory: g.directory, Services: g.state.config.Load,
 		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Lease: s.Lease, Rank: g.roster.Rank, Announce: g.exchange.Spread,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -28,7 +28,7 @@
 
 // heard takes in another VM's datagram.
 func (g *Gateway) heard(load *sharepb.Load) {
-	if load.Leaving && !load.ZoneSum {
+	if load.Leaving && !load.ZoneSum && !load.RegionSum {
 		load.Work = nil // what it still does ends soon, and it takes nothing new
 	}
 	g.roster.Learn(roster.VM{Name: load.Vm, Zone: load.Zone, Strength: int(load.Strength), Address: load.Address})
--- a/loadshare/datagrams.go
+++ b/loadshare/datagrams.go
@@ -15,7 +15,7 @@
 
 // datagrams cuts a report so that each datagram stays small. An endpoint always
 // stands in the segment of its hash, so that no two segments count it.
-func (x *Exchange) datagrams(r Report, zoneSum bool) []*sharepb.Load {
+func (x *Exchange) datagrams(r Report, of scope) []*sharepb.Load {
 	segments := make([][]*sharepb.Work, max(1, (len(r.Work)+maxWorks-1)/maxWorks))
 	for _, w := range r.Work {
 		i := w.Endpoint % uint32(len(segments))
@@ -24,7 +24,7 @@
 	var list []*sharepb.Load
 	placed := r.Placed
 	for i := 0; i < len(segments) || len(placed) > 0; i++ {
-		load := x.load(r, zoneSum)
+		load := x.load(r, of)
 		if i < len(segments) {
 			load.Segment, load.Segments, load.Work = uint32(i), uint32(len(segments)), segments[i]
 		} else {
@@ -52,13 +52,13 @@
 }
 
 // load is a datagram with all but the work and the prompts.
-func (x *Exchange) load(r Report, zoneSum bool) *sharepb.Load {
+func (x *Exchange) load(r Report, of scope) *sharepb.Load {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sequence++
 	return &sharepb.Load{
 		Vm: x.cfg.VM, Zone: x.cfg.Zone, Address: x.cfg.Address,
 		Boot: x.boot, Sequence: x.sequence, Changing: r.Changing, Refusing: r.Refusing, Leaving: x.leaving,
-		Strength: uint32(x.cfg.Strength), ZoneSum: zoneSum,
+		Strength: uint32(x.cfg.Strength), ZoneSum: of == ofZone, RegionSum: of == ofRegion,
 	}
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -31,12 +31,26 @@
 	// region. An engine prefills about one prompt in it; at 25 ms, VMs that choose at
 	// the same time were further off with their predictions.
 	minInterval = 10 * time.Millisecond
-	// collectedInterval is the same where a collector tells of its zone. Of 10, 20 and
-	// 40 ms the shortest served most (docs/design/platform.md).
-	collectedInterval = 10 * time.Millisecond
-	// maxDatagrams bounds the datagrams that one VM sends a second; with many
-	// peers or endpoints rounds come more seldom.
-	maxDatagrams = 2000
+	// collectorInterval is the time between two reports of a collector to those of the
+	// other zones. Of 10, 20 and 40 ms the shortest served most (docs/design/platform.md).
+	collectorInterval = 10 * time.Millisecond
+	// memberInterval is the time between two reports to a collector: some 3,000 datagrams
+	// a second for one of a zone of 60 VMs.
+	memberInterval = 20 * time.Millisecond
+	// directDatagrams bounds the datagrams that one VM sends a second in a small region;
+	// with many peers or endpoints rounds come more seldom.
+	directDatagrams = 2000
+	// linkPart is the part of its link that a collector gives to telling its zone. The
+	// rest is for its callers, and for datagrams of which several come at once. Its
+	// datagrams a second stay between leastDatagrams, so that a zone is not left without
+	// news, and mostDatagrams, which take some 0.05 of a core.
+	linkPart       = 0.5
+	leastDatagrams = 500
+	mostDatagrams  = 9000
+	// collectedSpread is how long news takes from one VM of a large region to all others:
+	// the reports of a member and a collector and a round of another, twice for one that
+	// is lost.
+	collectedSpread = 300 * time.Millisecond
 	// quietInterval is how often a VM without any work gives a sign of life. Three of
 	// them fit into TTL.
 	quietInterval = 200 * time.Millisecond
@@ -58,12 +72,14 @@
 	VM, Zone string
 	// Strength is what this VM can bear, in units that all VMs share.
 	Strength int
+	// LinkBitsPerSecond is what this VM's link carries; zero is no bound.
+	LinkBitsPerSecond float64
 	// Address is where this VM takes datagrams (host:port).
 	Address string
 	// Own returns this VM's open work and the prompts placed since the last call.
 	Own func() Report
 	// Heard takes the newest datagram of a peer. That of a collector stands for its
-	// whole zone (ZoneSum).
+	// whole zone (ZoneSum) or for all zones (RegionSum).
 	Heard func(*sharepb.Load)
 }
 
@@ -116,7 +132,15 @@
 
 // Spread is how long news of this VM takes to reach all others, a lost datagram
 // included.
-func (x *Exchange) Spread() time.Duration { return 4 * x.interval() }
+func (x *Exchange) Spread() time.Duration {
+	x.mu.Lock()
+	collected := x.region.collected()
+	x.mu.Unlock()
+	if collected {
+		return collectedSpread
+	}
+	return 4 * x.interval()
+}
 
 // Before returns the VMs of the own zone that come before this one in the order of
 // collectors, from the collector on, at most n. There are none in a small region.
@@ -162,11 +186,16 @@
 func (x *Exchange) send(ctx context.Context, conn *net.UDPConn) {
 	var q quiet
 	for loop.Sleep(ctx, x.interval()) {
-		datagrams := 0
-		for _, m := range x.messages(&q) {
-			datagrams += x.tell(conn, m)
+		list := x.messages(&q)
+		all, round := 0, 0
+		for _, m := range list {
+			n := x.tell(conn, m)
+			all += n
+			if m.of == ofRegion {
+				round += n
+			}
 		}
-		x.noteRound(datagrams)
+		x.noteRound(time.Now(), all, round)
 	}
 }
 
@@ -200,23 +229,36 @@
 	return true
 }
 
-// interval is the time between two rounds. A VM that a collector speaks for tells it
-// no more often than the collector tells others.
+// interval is the time between two rounds.
 func (x *Exchange) interval() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	least := minInterval
-	if x.region.collected() {
-		least = collectedInterval
+	switch {
+	case !x.region.collected():
+		return max(minInterval, time.Duration(x.lastRound)*time.Second/directDatagrams)
+	case x.region.collects(time.Now()):
+		return collectorInterval
 	}
-	datagrams := max(x.lastRound, x.region.collectorRound(time.Now()))
-	return max(least, time.Duration(datagrams)*time.Second/maxDatagrams)
+	return memberInterval
 }
 
-func (x *Exchange) noteRound(datagrams int) {
+// noteRound takes in how many datagrams were sent, and how many of these told the own
+// zone of the region: the next time for these is when the link has had that much.
+func (x *Exchange) noteRound(now time.Time, all, region int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.lastRound = datagrams
+	x.lastRound = all
+	if region > 0 {
+		x.region.nextRound = now.Add(time.Duration(float64(region) / x.cfg.roundRate() * float64(time.Second)))
+	}
+}
+
+// roundRate is the number of datagrams a second that tell the own zone of the region.
+func (c *Config) roundRate() float64 {
+	if c.LinkBitsPerSecond <= 0 {
+		return mostDatagrams
+	}
+	return min(max(leastDatagrams, c.LinkBitsPerSecond*linkPart/8/maxDatagram), mostDatagrams)
 }
 
 // tell sends a message and returns how many datagrams that took.
@@ -224,7 +266,7 @@
 	if len(m.to) == 0 {
 		return 0
 	}
-	loads := x.datagrams(m.report, m.zoneSum)
+	loads := x.datagrams(m.report, m.of)
 	for _, load := range loads {
 		data, err := proto.Marshal(load)
 		if err != nil {
@@ -255,18 +297,13 @@
 			continue
 		}
 		received.Inc()
-		x.take(conn, buf[:n], load)
+		x.take(load)
 	}
 }
 
-// take takes in a datagram, and passes it on if this VM collects for its zone and
-// the datagram comes from another.
-func (x *Exchange) take(conn *net.UDPConn, data []byte, load *sharepb.Load) {
-	if !x.fresh(load) {
-		return
-	}
-	x.passOn(conn, data, load.Zone)
-	if x.counts(load) {
+// take takes in a datagram.
+func (x *Exchange) take(load *sharepb.Load) {
+	if x.fresh(load) && x.counts(load) {
 		x.cfg.Heard(load)
 	}
 }
@@ -277,13 +314,6 @@
 	return x.region.counts(time.Now(), load)
 }
 
-func (x *Exchange) passOn(conn *net.UDPConn, data []byte, zone string) {
-	x.mu.Lock()
-	members := x.region.passOn(time.Now(), zone)
-	x.mu.Unlock()
-	x.write(conn, data, members)
-}
-
 // write sends one datagram to each of the peers.
 func (x *Exchange) write(conn *net.UDPConn, data []byte, peers []Peer) {
 	for _, p := range peers {
--- a/loadshare/members.go
+++ b/loadshare/members.go
@@ -15,18 +15,27 @@
 // maxPlaced bounds the prompts that wait to be told; the oldest are dropped.
 const maxPlaced = 512
 
-// memberLoads are the loads of a zone's VMs, as their collector adds them up.
+// memberLoads are the loads of a zone's VMs, or those of the other zones, as a collector
+// adds them up.
 type memberLoads struct {
 	loads  map[memberSegment]memberLoad
 	placed []*sharepb.Placed
 }
 
-// memberSegment is one part of a VM's work.
+// memberSegment is one part of a VM's work, or of a zone's.
 type memberSegment struct {
-	vm      string
+	name    string
 	segment uint32
 }
 
+// nameOf is whose work a load tells: that of a zone, whichever VM collected it, or of a VM.
+func nameOf(load *sharepb.Load) string {
+	if load.ZoneSum {
+		return load.Zone
+	}
+	return load.Vm
+}
+
 type memberLoad struct {
 	load *sharepb.Load
 	at   time.Time
@@ -34,7 +43,7 @@
 
 func newMemberLoads() memberLoads { return memberLoads{loads: map[memberSegment]memberLoad{}} }
 
-// take notes a VM's load. One that is leaving takes nothing new, and what it still
+// take notes a load. A VM that is leaving takes nothing new, and what it still
 // does ends soon.
 func (m *memberLoads) take(now time.Time, load *sharepb.Load) {
 	m.placed = append(m.placed, load.Placed...)
@@ -42,7 +51,7 @@
 	if load.NoWork {
 		return
 	}
-	key := memberSegment{load.Vm, load.Segment}
+	key := memberSegment{nameOf(load), load.Segment}
 	if load.Leaving {
 		delete(m.loads, key)
 		return
@@ -75,17 +84,16 @@
 	return Report{Work: total.list(), Placed: placed, Changing: slices.Compact(changing), Refusing: slices.Compact(refusing)}
 }
 
-// without returns a zone's report less the work of one of its VMs, which knows its
-// own better.
-func (m *memberLoads) without(zone Report, vm string) Report {
+// without returns a report less the work of one of the VMs, which knows its own better.
+func (m *memberLoads) without(all Report, vm string) Report {
 	theirs := totals{}
 	for key, l := range m.loads {
-		if key.vm == vm {
+		if key.name == vm {
 			theirs.add(l.load.Work)
 		}
 	}
-	rest := make([]*sharepb.Work, 0, len(zone.Work))
-	for _, w := range zone.Work {
+	rest := make([]*sharepb.Work, 0, len(all.Work))
+	for _, w := range all.Work {
 		if t := theirs[w.Endpoint]; t != nil {
 			w = less(w, t)
 		}
@@ -93,8 +101,19 @@
 			rest = append(rest, w)
 		}
 	}
-	zone.Work = rest
-	return zone
+	all.Work = rest
+	return all
+}
+
+// plus returns two reports as one.
+func (r Report) plus(o Report) Report {
+	sum := totals{}
+	sum.add(r.Work)
+	sum.add(o.Work)
+	return Report{
+		Work: sum.list(), Placed: slices.Concat(r.Placed, o.Placed),
+		Changing: slices.Concat(r.Changing, o.Changing), Refusing: slices.Concat(r.Refusing, o.Refusing),
+	}
 }
 
 // less returns work without a part of it.
--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -14,17 +15,22 @@
 	// collectorTimeout is how long a collector may be silent before the next VM of
 	// the zone takes its place: some rounds, so that lost datagrams do not count.
 	collectorTimeout = 400 * time.Millisecond
+	// placedRound is the most prompts that are told in one round of a collector: some
+	// three datagrams, as many as the work takes. Work is what choices hang on, so it
+	// must not wait behind the prompts of a burst.
+	placedRound = 120
 )
 
 // region is the part of an Exchange that knows whom to tell what. In a large region
-// the VMs of a zone tell one of them, the collector. It adds up their work and tells
-// the sum to its zone and to the collectors of the others; these pass it on to their
-// zones. So what a VM hears grows with the endpoints and the zones, not with the VMs:
-// the loads of 65 VMs, each told by itself, took a third of a link of 10 Mbit/s.
+// the VMs of a zone tell one of them, the collector. It adds up their work and tells the
+// sum to the collectors of the other zones, and the sum of all zones to its own. So what a
+// VM hears grows with the endpoints, not with the VMs or the zones: told the sum of each
+// zone by itself, VMs of a large region heard of a burst 120 to 300 ms late, since five
+// times as much went over the collectors' links.
 //
 // The collector is the first of a zone's VMs, in an order that all know, that is
 // not silent. Nothing is agreed on: a VM that takes itself for the collector acts
-// as one, and of two sums of a zone the newer counts.
+// as one, and of two sums the newer counts.
 type region struct {
 	self  Peer
 	peers []Peer
@@ -34,17 +40,19 @@
 	// heardAt is when a VM was last heard itself, and reliedAt when it was first
 	// taken for a collector since then.
 	heardAt, reliedAt map[string]time.Time
-	// members are what the own zone's other VMs told.
-	members memberLoads
-	// segments is the number of datagrams in which the own zone's collector last told
-	// a sum, zero if this VM has heard none.
-	segments uint32
+	// members are what the own zone's other VMs told, and others what the collectors of
+	// the other zones did.
+	members, others memberLoads
+	// nextRound is when this VM, as a collector, next tells its zone, and placed are the
+	// prompts of the region that it has not told it yet.
+	nextRound time.Time
+	placed    []*sharepb.Placed
 }
 
 func newRegion(self Peer) region {
 	return region{
 		self: self, zones: map[string][]Peer{self.Zone: {self}},
-		heardAt: map[string]time.Time{}, reliedAt: map[string]time.Time{}, members: newMemberLoads(),
+		heardAt: map[string]time.Time{}, reliedAt: map[string]time.Time{}, members: newMemberLoads(), others: newMemberLoads(),
 	}
 }
 
@@ -73,24 +81,26 @@
 	return r.collected() && r.collector(r.self.Zone, now).Name == r.self.Name
 }
 
-// collectorRound is the number of datagrams that a round of the own zone's collector
-// takes, as far as this VM knows; zero where no other VM collects for it.
-func (r *region) collectorRound(now time.Time) int {
-	if !r.collected() || r.collects(now) {
-		return 0
-	}
-	listeners := len(r.zones[r.self.Zone]) - 1 + len(r.zones) - 1
-	return int(r.segments) * listeners
-}
+// scope is whose work a message tells.
+type scope int
+
+const (
+	// ofVM is a VM's own work.
+	ofVM scope = iota
+	// ofZone is that of all VMs of a zone.
+	ofZone
+	// ofRegion is that of all VMs of the region.
+	ofRegion
+)
 
 // message is one report for some peers.
 type message struct {
-	report  Report
-	zoneSum bool
-	to      []Peer
+	report Report
+	of     scope
+	to     []Peer
 }
 
-// messages returns what to tell this round, given the VM's own report.
+// messages returns what to tell now, given the VM's own report.
 func (r *region) messages(now time.Time, own Report) []message {
 	switch {
 	case !r.collected():
@@ -98,14 +108,27 @@
 	case !r.collects(now):
 		return []message{{report: own, to: []Peer{r.collector(r.self.Zone, now)}}}
 	}
-	zone := r.members.sum(now, own)
-	list := []message{{report: zone, zoneSum: true, to: r.otherCollectors(now)}}
+	zone, others := r.members.sum(now, own), r.others.sum(now, Report{})
+	r.keepPlaced(zone.Placed, others.Placed)
+	list := []message{{report: zone, of: ofZone, to: r.otherCollectors(now)}}
+	if now.Before(r.nextRound) {
+		return list
+	}
+	all := zone.plus(others)
+	n := min(len(r.placed), placedRound)
+	all.Placed, r.placed = r.placed[:n:n], r.placed[n:]
 	for _, p := range r.zoneMates() {
-		list = append(list, message{report: r.members.without(zone, p.Name), zoneSum: true, to: []Peer{p}})
+		list = append(list, message{report: r.members.without(all, p.Name), of: ofRegion, to: []Peer{p}})
 	}
 	return list
 }
 
+// keepPlaced keeps prompts for the next round; the oldest are dropped.
+func (r *region) keepPlaced(lists ...[]*sharepb.Placed) {
+	r.placed = append(r.placed, slices.Concat(lists...)...)
+	r.placed = r.placed[max(0, len(r.placed)-maxPlaced):]
+}
+
 // before returns the VMs of the own zone that come before this one, in the order of
 // collectors and from the collector on, at most n.
 func (r *region) before(now time.Time, n int) []Peer {
@@ -176,24 +199,27 @@
 func (r *region) heard(now time.Time, load *sharepb.Load) {
 	r.heardAt[load.Vm] = now
 	delete(r.reliedAt, load.Vm)
-	if load.ZoneSum && load.Zone == r.self.Zone && !load.NoWork {
-		r.segments = load.Segments
+	if !r.collected() || load.RegionSum {
+		return
 	}
-	if r.collected() && load.Zone == r.self.Zone && !load.ZoneSum {
+	switch own := load.Zone == r.self.Zone; {
+	case own && !load.ZoneSum:
 		r.members.take(now, load)
+	case !own && load.ZoneSum:
+		r.others.take(now, load)
 	}
 }
 
-// passOn returns whom to pass a datagram on to that a VM of the zone made.
-func (r *region) passOn(now time.Time, zone string) []Peer {
-	if zone == r.self.Zone || !r.collects(now) {
-		return nil
-	}
-	return r.zoneMates()
-}
-
-// counts tells whether a load is to be taken in. A collector has its zone's loads
-// from the VMs themselves, so another's sum of them would count twice.
+// counts tells whether a load is to be taken in: every load in a small region; for a
+// collector those of its zone's VMs and the sums of the other zones; for the others their
+// collector's sum of the region, in which all else is contained.
 func (r *region) counts(now time.Time, load *sharepb.Load) bool {
-	return !load.ZoneSum || load.Zone != r.self.Zone || !r.collects(now)
+	own := load.Zone == r.self.Zone
+	switch {
+	case !r.collected():
+		return true
+	case !r.collects(now):
+		return own && load.RegionSum
+	}
+	return !load.RegionSum && own != load.ZoneSum
 }
--- a/placement/books.go
+++ b/placement/books.go
@@ -72,15 +72,19 @@
 	b.refusals++
 }
 
-// source names what was told together: a part of the work of a VM, or of a zone's
-// VMs, whoever collected it.
+// source names what was told together: a part of the work of a VM, or of a zone's or the
+// region's VMs, whoever collected it.
 type source struct {
 	vm, zone string
+	region   bool
 	segment  uint32
 }
 
 func sourceOf(load *sharepb.Load) source {
-	if load.ZoneSum {
+	switch {
+	case load.RegionSum:
+		return source{region: true, segment: load.Segment}
+	case load.ZoneSum:
 		return source{zone: load.Zone, segment: load.Segment}
 	}
 	return source{vm: load.Vm, segment: load.Segment}
@@ -178,6 +182,7 @@
 	if last, told := b.peers[from]; told {
 		b.newsGap += (now.Sub(last.at) - b.newsGap) / newsGapMemory
 	}
+	b.dropOther(from.region)
 	b.subtract(from)
 	b.peers[from] = peerLoad{work: load.Work, refusing: load.Refusing, at: now}
 	unused := from
@@ -202,6 +207,16 @@
 	}
 }
 
+// dropOther drops what the region's sum contains, or the sum: a VM hears one or the other,
+// until another VM takes the place of its collector, and both would count work twice.
+func (b *books) dropOther(region bool) {
+	for from := range b.peers {
+		if from.region != region {
+			b.subtract(from)
+		}
+	}
+}
+
 // newsGapMemory is the number of reports that the average of their gaps goes by: those of
 // some 50 ms in a large region.
 const newsGapMemory = 16
--- a/placement/engines.go
+++ b/placement/engines.go
@@ -86,8 +86,8 @@
 // reader is the best engine to prefill: of a few of the own zone, or of all zones
 // if these are crowded, and of those that hold more of the prompt, wherever they are.
 //
-// The least loaded of all engines is not looked for, however late the prompt would be:
-// while news is on its way all VMs find the same one. In a replay of a burst of three
+// The least loaded of all engines is looked for only with fresh news: while news is on its
+// way all VMs find the same one. In a replay of a burst of three
 // times the usual load on 104 engines, with news 60 to 120 ms old, 0.61 and 0.44 of the
 // requests of its two halves came in time with that look, 0.73 and 0.88 without.
 func (d *decision) reader(chunks []chunk, tokens int) option {
@@ -104,11 +104,15 @@
 	return sooner(best, d.any(engines, chunks, tokens))
 }
 
-// any is the best of a few engines drawn at random. Many prompts behind one shared part
-// have the same first engines, which a burst of them fills.
+// any is the best of all engines, or of a few drawn at random if the news of them is not
+// fresh. Many prompts behind one shared part have the same first engines, which a burst of
+// them fills.
 func (d *decision) any(engines []*directory.Endpoint, chunks []chunk, tokens int) option {
+	if d.choices() < d.p.tuning.Choices {
+		engines = d.drawn(engines)
+	}
 	var best option
-	for _, e := range d.drawn(engines) {
+	for _, e := range engines {
 		best = sooner(best, d.readOn(e, chunks, tokens))
 	}
 	return best
--- a/rolechange/balance.go
+++ b/rolechange/balance.go
@@ -16,8 +16,11 @@
 
 // BalanceSettings bound a Balancer.
 type BalanceSettings struct {
-	// Share is the part of the engines that prefill before there is any work.
-	Share float64
+	// Share is the part of the engines that prefill before there is any work, and Enough
+	// the number above which no more are ordered to for that or for MinShare. In a fleet
+	// with little to do each order takes an engine away for seconds for nothing.
+	Share  float64
+	Enough int
 	// Memory is the time over which the pressure is averaged.
 	Memory time.Duration
 	// Busy is the wait for prefill above which an engine more is wanted there.
@@ -37,6 +40,7 @@
 func DefaultBalance() BalanceSettings {
 	return BalanceSettings{
 		Share:    0.6,
+		Enough:   enoughPrefill,
 		Memory:   8 * time.Second,
 		Busy:     60 * time.Millisecond,
 		Room:     0.35,
@@ -47,6 +51,11 @@
 	}
 }
 
+// enoughPrefill is the number of engines that prefill the largest load there is to be,
+// 4.8 million tokens a second, three times over for its bursts, at 200 tokens a
+// millisecond.
+const enoughPrefill = 72
+
 // Balancer says how many engines should prefill, one step at a time, from the
 // pressure on both sides. It belongs to one goroutine.
 type Balancer struct {
@@ -65,7 +74,7 @@
 func (b *Balancer) Target(now time.Time, shape Shape, p Pressure) int {
 	b.observe(now, p)
 	if !b.worked {
-		return b.bounded(int(math.Round(b.set.Share*float64(shape.size()))), shape)
+		return b.bounded(b.before(shape), shape)
 	}
 	want := b.bounded(shape.Prefill, shape)
 	if want != shape.Prefill || now.Sub(b.moved) < b.set.Pause {
@@ -78,6 +87,15 @@
 	return want
 }
 
+// before is how many engines should prefill while there is no work.
+func (b *Balancer) before(shape Shape) int {
+	want := int(math.Round(b.set.Share * float64(shape.size())))
+	if want > b.set.Enough {
+		return max(shape.Prefill, b.set.Enough)
+	}
+	return want
+}
+
 // step is 1 for one engine more that prefills, -1 for one fewer.
 func (b *Balancer) step(shape Shape, p Pressure) int {
 	slots := float64(max(1, p.Slots))
@@ -106,7 +124,7 @@
 // bounded keeps the part that prefills within its bounds, and one engine that decodes.
 func (b *Balancer) bounded(prefill int, shape Shape) int {
 	n := float64(shape.size())
-	least := int(math.Floor(b.set.MinShare * n))
+	least := min(int(math.Floor(b.set.MinShare*n)), b.set.Enough)
 	most := min(int(math.Ceil(b.set.MaxShare*n)), shape.size()-1)
 	return max(0, min(max(prefill, least), most))
 }
--- a/rolechange/balance_test.go
+++ b/rolechange/balance_test.go
@@ -76,3 +76,47 @@
 		t.Error("pressure that lasts moves nothing")
 	}
 }
+
+// A large fleet without work orders no engine beyond what any load may need, and one with
+// little work none at all; one that has but one role gets enough of the other.
+func TestLargeFleetWithLittleToDoOrdersLittle(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		shape Shape
+		want  int
+	}{
+		{"a small fleet keeps its share", Shape{Prefill: 4, Decode: 8}, 7},
+		{"104 engines", Shape{Prefill: 30, Decode: 74}, 62},
+		{"3,000 engines", Shape{Prefill: 870, Decode: 2130}, 870},
+		{"3,000 engines that decode", Shape{Decode: 3000}, enoughPrefill},
+		{"3,000 engines that prefill", Shape{Prefill: 3000}, 2011},
+	} {
+		b := NewBalancer(DefaultBalance())
+		now := time.Unix(1000, 0)
+		if got := b.Target(now, tc.shape, Pressure{Slots: 12}); got != tc.want {
+			t.Errorf("%s: %d should prefill before there is work, want %d", tc.name, got, tc.want)
+		}
+		at := Shape{Prefill: tc.want, Decode: tc.shape.size() - tc.want}
+		for range 100 {
+			now = now.Add(300 * time.Millisecond)
+			if got := b.Target(now, at, Pressure{Slots: 12, Running: 20, PrefillWait: time.Millisecond}); got != tc.want {
+				t.Fatalf("%s: %d should prefill with little work, want %d", tc.name, got, tc.want)
+			}
+		}
+	}
+}
+
+// The burst that then comes to such a fleet still moves engines.
+func TestLargeFleetMovesEnginesForABurst(t *testing.T) {
+	b := NewBalancer(DefaultBalance())
+	now, shape := time.Unix(1000, 0), Shape{Prefill: 72, Decode: 2928}
+	b.Target(now, shape, Pressure{Slots: 12, Running: 20})
+	for range 40 {
+		now = now.Add(300 * time.Millisecond)
+		shape.Prefill = b.Target(now, shape, Pressure{Slots: 12, Running: 300, PrefillWait: 200 * time.Millisecond})
+		shape.Decode = 3000 - shape.Prefill
+	}
+	if shape.Prefill <= 72 {
+		t.Error("no engine was moved while prompts wait 200 ms")
+	}
+}
