--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -104,9 +104,9 @@
 func (r *region) messages(now time.Time, own Report) []message {
 	switch {
 	case !r.collected():
-		return []message{{report: own, to: r.peers}}
+		return []message{{report: own, of: ofVM, to: r.peers}}
 	case !r.collects(now):
-		return []message{{report: own, to: []Peer{r.collector(r.self.Zone, now)}}}
+		return []message{{report: own, of: ofVM, to: []Peer{r.collector(r.self.Zone, now)}}}
 	}
 	zone, others := r.members.sum(now, own), r.others.sum(now, Report{})
 	r.keepPlaced(zone.Placed, others.Placed)
