--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,5 @@
 generate: ## regenerate the committed protobuf and twirp code (needs protoc)
 	$(GO) generate ./...
 
-# Targets of single parts: policy, model, model-mutants, bench, slopes.
+# Targets of single parts: policy, model, model-mutants, bench.
 -include *.mk spec/*.mk
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -332,7 +332,7 @@
 	}
 }
 
-// BenchmarkOrganisations gives the slopes for docs/CAPACITY.md: heap for each
+// BenchmarkOrganisations gives the slopes of a queue: heap for each
 // organisation with limits, and the time to offer and send one request while n
 // organisations wait.
 func BenchmarkOrganisations(b *testing.B) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// BenchmarkStore gives the slopes for docs/CAPACITY.md: heap for each engine
+// BenchmarkStore gives the slopes of a store: heap for each engine
 // known, and processor time for a report, a reservation and its release.
 func BenchmarkStore(b *testing.B) {
 	for _, n := range []int{12, 400, 2400} {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -343,9 +343,6 @@
 	return true
 }
 
-// SentBytes is what this process has told others so far, in bytes of datagrams.
-func SentBytes() uint64 { return sentBytes.Get() }
-
 var (
 	sent          = metrics.NewCounter("springweir_loadshare_sent_total")
 	sentBytes     = metrics.NewCounter("springweir_loadshare_sent_bytes_total")
