Keep a connection whose writer has not yet noticed that a long body is out

Bodies over 2 KB are written by a goroutine; after a success its end was asked for without waiting, and a goroutine that had not run since made the connection count as spoilt. Change: after a 2xx the writer's end is waited for, 250 ms at most; other answers as before.

--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -58,5 +58,5 @@
 	if !ended || a.closing || a.ex.conn.reader.Buffered() > 0 {
 		return false
 	}
-	return a.ex.stop() && a.ex.written()
+	return a.ex.stop() && a.ex.written(a.Status/100 == 2)
 }
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -190,9 +190,14 @@
 	}, nil
 }
 
-// written tells whether the whole body was sent. A server that answers sooner
-// leaves the rest unread, so the connection cannot be used again.
-func (ex *exchange) written() bool {
+// writtenWait is how long the end of a write is waited for after a success. The server has
+// read the whole body by then, but on a busy VM the goroutine that wrote it may not have run
+// since: the connection was closed, and the next request cost a new one.
+const writtenWait = 250 * time.Millisecond
+
+// written tells whether the whole body was sent. A server that answers sooner, as with a
+// refusal, leaves the rest unread, so the connection cannot be used again.
+func (ex *exchange) written(success bool) bool {
 	if ex.wrote == nil {
 		return true
 	}
@@ -200,6 +205,16 @@
 	case err := <-ex.wrote:
 		return err == nil
 	default:
+	}
+	if !success {
+		return false
+	}
+	timer := time.NewTimer(writtenWait)
+	defer timer.Stop()
+	select {
+	case err := <-ex.wrote:
+		return err == nil
+	case <-timer.C:
 		return false
 	}
 }
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/springweir/springweir/internal/network"
 )
 
 // server is a TCP server whose connections are handled by a script.
@@ -141,6 +143,34 @@
 	}
 }
 
+// lateConn reports the end of a write only some time after the bytes are out, as a writer
+// does that does not get the processor back at once.
+type lateConn struct{ net.Conn }
+
+func (c lateConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	time.Sleep(2 * time.Millisecond)
+	return n, err
+}
+
+// A server may answer a long body before the goroutine that wrote it has noticed.
+func TestConnectionIsReusedAlsoIfItsWriterIsLate(t *testing.T) {
+	s := serve(t, echo)
+	p := newPool(t, s, Options{Network: network.Network{Dial: func(ctx context.Context, kind, address string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, kind, address)
+		return lateConn{c}, err
+	}}})
+	for range 5 {
+		if _, err := ask(t, p, post(strings.Repeat("z", 10*inlineBody))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.connections(); n != 1 {
+		t.Errorf("%d connections for five requests one after the other", n)
+	}
+}
+
 // A kept connection is not used again once the server has closed it, has sent
 // something on it, or said that it would not keep it for so long.
 func TestSpoiltConnectionIsNotReused(t *testing.T) {
