--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -54,9 +54,9 @@
 
 // newsPerChoice is the age of news for which one engine more than the first is looked at.
 // An engine that prefills gets a prompt each 20 ms in a burst: what is older says little of
-// it, and the VMs that compare engines by it all choose the same ones. In the replay of
-// placement.reader, with one choice instead of three, 0.90 and 0.98 came in time; with news
-// of 10 ms three choices serve 0.02 more than one.
+// it, and the VMs that compare engines by it all choose the same ones. In the load of
+// TestReplayOfABurstWithLateNews one choice instead of three served 0.90 and 0.98 of the
+// burst's halves in time, not 0.73 and 0.88; with news of 10 ms three serve 0.02 more.
 const newsPerChoice = 30 * time.Millisecond
 
 // choices is the number of engines that are compared: as many as the news of other VMs
