Show which requests were at work on an endpoint that crashed

Cause: the lines of the incident name a request by its id only, which is new for each repeat, and do not tell an endpoint that crashed from a connection that broke.

Change: package poison gives a request a key of its caller, method, host, target and body. When a run's connection breaks, the VM looks once whether the endpoint still takes connections, and writes one line a crash with all of its requests that were at work there, those that it had given up within two seconds before included. Nothing is refused yet.

The look is a new connection, which is kept for the next request if it comes up.

Ruled out: taking each broken connection for a crash (resets, callers that leave, answers cut short); waiting for the endpoint's row to lapse, which takes three seconds of the time within which all VMs must know.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/placement"
+	"github.com/springweir/springweir/poison"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/retry"
 	"github.com/springweir/springweir/rolechange"
@@ -70,6 +71,8 @@
 	// DecodeConfig and DecodeEndpoint read their rows. Their errors name the row.
 	DecodeConfig   func(table.Row) (*routes.Config, error)
 	DecodeEndpoint func(table.Row) (directory.Registration, error)
+	// Down tells whether nobody listens at an endpoint's address any more.
+	Down func(context.Context, *directory.Endpoint) bool
 	// Forget is called with each new snapshot, to close connections to endpoints
 	// that are gone.
 	Forget func(*directory.Snapshot)
@@ -89,6 +92,7 @@
 	roster    *roster.Roster
 	exchange  *loadshare.Exchange
 	roles     *rolechange.Keeper
+	runs      *poison.Runs
 	// configs, endpoints and vms are where the tables are read from.
 	configs, endpoints, vms *feedshare.Source
 }
@@ -110,7 +114,8 @@
 		VM: s.VM, Rows: p.Rows, Directory: g.directory, Services: g.state.config.Load,
 		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Lease: s.Lease, Rank: g.roster.Rank, Announce: g.exchange.Spread,
 	}, self.Boot, s.Peers)
-	g.relay = relay.New(relay.Config{Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.of})
+	g.runs = poison.NewRuns(poison.RunsConfig{Down: p.Down, Crashed: func(poison.Crash) {}})
+	g.relay = relay.New(relay.Config{Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.of, Guard: g.runs})
 	return g
 }
 
@@ -118,6 +123,7 @@
 // over are closed at once: they may look open, and a request sent on one is lost.
 func (g *Gateway) setEndpoints(old, now *directory.Snapshot) {
 	g.planner.SetEndpoints(old, now)
+	g.runs.Keep(now)
 	if restarted(old, now) {
 		g.platform.Forget(now)
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -86,7 +86,7 @@
 	req := &relay.Request{
 		ID: call.ID, Method: r.Method, Target: target(r), Host: r.Host,
 		Header: call.Header, Body: body, HasBody: r.ContentLength != 0,
-		Received: began, Route: route, Service: route.Service(rand.Float64()),
+		Caller: callerOf(r), Received: began, Route: route, Service: route.Service(rand.Float64()),
 		Prompt: call.Prompt, HeldEvents: call.HeldEvents,
 	}
 	if limit := sooner(call.Patience, route.Timeout); limit > 0 {
@@ -265,6 +265,14 @@
 	return path
 }
 
+// callerOf is the address that the request came from, without a port.
+func callerOf(r *http.Request) string {
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		return host
+	}
+	return r.RemoteAddr
+}
+
 // hostOf is the host asked for, without a port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -193,6 +193,16 @@
 	}
 }
 
+// Connect opens a connection and keeps it for the next request. The error is of package net.
+func (p *Pool) Connect(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.ConnectTimeout)
 	defer cancel()
--- /dev/null
+++ b/poison/metrics.go
@@ -0,0 +1,34 @@
+package poison
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// crashesSeen counts reports of endpoints that crashed under runs of this VM.
+var crashesSeen = metrics.NewCounter("springweir_poison_crashes_total")
+
+// maxDescribed bounds the suspects in one line of the log.
+const maxDescribed = 40
+
+// describe lists suspects for the log: request and key, with a mark for those that had given
+// events.
+func describe(list []Suspect) string {
+	var b strings.Builder
+	for i, s := range list {
+		if i == maxDescribed {
+			fmt.Fprintf(&b, " and %d more", len(list)-i)
+			break
+		}
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=%s", s.Request, s.Key)
+		if s.Streaming {
+			b.WriteString("(streaming)")
+		}
+	}
+	return b.String()
+}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -28,6 +28,7 @@
 	failed = watchdog.Explain(limited, failed)
 	plan.Watch.Prefilled(failed, gaveUp(ctx, failed))
 	if failed != nil {
+		j.ended(ctx, plan.Prefill, failed)
 		j.count(failed)
 		j.tried = append(j.tried, plan.Prefill.ID)
 		return notPrefilled(failed)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,8 @@
 	Upstream Upstream
 	// Budget returns the retry budget of a service.
 	Budget func(service string) Budget
+	// Guard watches what requests do to endpoints; nil is nobody.
+	Guard Guard
 	// MaxAnswer bounds an answer that is no stream, in bytes (default 16 MiB).
 	MaxAnswer int64
 	// MaxPlaces bounds the endpoints tried for one request, those that could
@@ -52,6 +54,9 @@
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
+	if cfg.Guard == nil {
+		cfg.Guard = unguarded{}
+	}
 	if cfg.MaxAnswer == 0 {
 		cfg.MaxAnswer = DefaultMaxAnswer
 	}
@@ -177,6 +182,7 @@
 	}
 	failed := j.send(ctx, a, plan)
 	plan.Watch.Finished(failed, gaveUp(ctx, failed))
+	j.ended(ctx, plan.Serve, failed)
 	j.count(failed)
 	if failed != nil {
 		j.tried = append(j.tried, plan.Serve.ID)
--- a/relay/request.go
+++ b/relay/request.go
@@ -33,6 +33,8 @@
 	Body   []byte
 	// HasBody tells an empty body from none.
 	HasBody bool
+	// Caller is the address that the request came from, without a port.
+	Caller string
 	// Received is when the request's head had been read; its body came in after that.
 	Received time.Time
 	// Deadline is when the answer must be whole: the caller's own time limit or
