Refuse a request that has crashed three endpoints, on all VMs

Cause: nothing was kept of what a request did to the endpoints that ran it. A request is known by its id only, which is new for each repeat, so each VM placed it anew, twice.

Change: what was at work on an endpoint that crashed goes to all VMs at once, by datagrams of package loadshare (three rounds; collectors pass it on). Each VM holds the same accounts in a ledger and decides alike: a request that was there at three crashes is to blame, unless another was there as often; requests that had given events count only if there are no others; what a convicted request explains is not held against the rest; a whole answer clears. Verdicts are written to a table of the platform's store, which all VMs follow, so that VMs that start, were cut off or suspended know them, and a VM that dies right after is replaced by the others, which write the same.

Ruled out: blaming each request of a crash (innocents at work there follow the guilty one to the next engine); refusing by path and caller alone (another body is innocent); verdicts by datagrams only (all VMs may be killed at once); accounts of single crashes in the store (a call for each VM and crash, and most of them name innocents).

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -69,6 +69,11 @@
 	CallerGone Reason = "caller-gone"
 	// RetryBudget is a retry not made because the budget was spent.
 	RetryBudget Reason = "retry-budget"
+	// CrashesEndpoints is a request refused because endpoints crashed each time it ran. It is
+	// final: the same request is refused at every VM.
+	CrashesEndpoints Reason = "crashes-endpoints"
+	// CrashSuspected is a request held back until it is known whether endpoints crashed under it.
+	CrashSuspected Reason = "crash-suspected"
 )
 
 // Reasons of failures towards the platform, between processes and of orders.
@@ -167,5 +172,7 @@
 	NoSuchRoute:         http.StatusNotFound,
 	NoConfig:            http.StatusServiceUnavailable,
 	CallerGone:          499,
+	CrashesEndpoints:    http.StatusBadRequest, // tells every client not to send it again
+	CrashSuspected:      http.StatusServiceUnavailable,
 	RetryBudget:         http.StatusServiceUnavailable,
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	// DrainWithin is the time within which a leaving endpoint must get no new work, and
 	// ApplyWithin that within which a new configuration must be in force.
 	DrainWithin, ApplyWithin time.Duration
+	// ContactWithin is the time within which a VM that was out of touch must know what the
+	// others do.
+	ContactWithin time.Duration
 	// Lease is how long after an order of one VM to an engine no other VM may
 	// order it.
 	Lease time.Duration
@@ -92,9 +95,9 @@
 	roster    *roster.Roster
 	exchange  *loadshare.Exchange
 	roles     *rolechange.Keeper
-	runs      *poison.Runs
+	guard     *poison.Guard
 	// configs, endpoints and vms are where the tables are read from.
-	configs, endpoints, vms *feedshare.Source
+	configs, endpoints, vms, verdicts *feedshare.Source
 }
 
 // New returns a gateway that has done nothing yet.
@@ -109,13 +112,15 @@
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Boot: roster.NewBoot()}
 	g.newSources()
 	g.roster = roster.New(p.Rows, g.vms, self, g.setPeers)
-	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond, Own: g.planner.Own, Heard: g.heard})
+	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond, Own: g.planner.Own, Heard: g.heard, News: func(n loadshare.News) { g.guard.Heard(n) }})
 	g.roles = rolechange.New(rolechange.Config{
 		VM: s.VM, Rows: p.Rows, Directory: g.directory, Services: g.state.config.Load,
 		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Lease: s.Lease, Rank: g.roster.Rank, Announce: g.exchange.Spread,
 	}, self.Boot, s.Peers)
-	g.runs = poison.NewRuns(poison.RunsConfig{Down: p.Down, Crashed: func(poison.Crash) {}})
-	g.relay = relay.New(relay.Config{Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.of, Guard: g.runs})
+	g.guard = poison.NewGuard(poison.Config{
+		Down: p.Down, Tell: g.exchange.Tell, Spread: g.exchange.Spread, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
+	})
+	g.relay = relay.New(relay.Config{Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.of, Guard: g.guard})
 	return g
 }
 
@@ -123,7 +128,7 @@
 // over are closed at once: they may look open, and a request sent on one is lost.
 func (g *Gateway) setEndpoints(old, now *directory.Snapshot) {
 	g.planner.SetEndpoints(old, now)
-	g.runs.Keep(now)
+	g.guard.Keep(now)
 	if restarted(old, now) {
 		g.platform.Forget(now)
 	}
@@ -160,7 +165,7 @@
 	group, work := errgroup.WithContext(serving)
 	callers := g.callerServer()
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness)}
-	feeds := &http.Server{Handler: feedshare.Handler(g.configs, g.endpoints, g.vms), ReadHeaderTimeout: headerTimeout}
+	feeds := &http.Server{Handler: feedshare.Handler(g.configs, g.endpoints, g.vms, g.verdicts), ReadHeaderTimeout: headerTimeout}
 	counters := &http.Server{Handler: http.HandlerFunc(g.serveMetrics)}
 	klog.InfoS("gateway: starting", "settings", g.settings)
 	// Callers can connect before the readiness check can say so: otherwise a VM that
@@ -179,6 +184,7 @@
 	group.Go(func() error { g.awaitPeers(work); g.followEndpoints(work); return nil })
 	group.Go(func() error { g.forgetEndpoints(work); return nil })
 	group.Go(func() error { g.roster.Run(work); return nil })
+	group.Go(func() error { g.awaitPeers(work); g.guard.Run(work); return nil })
 	group.Go(func() error { g.roles.Run(duties); return nil })
 	group.Go(func() error { return g.exchange.Run(work) })
 	select {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springweir/springweir/feedshare"
+	"github.com/springweir/springweir/poison"
 	"github.com/springweir/springweir/roster"
 )
 
@@ -42,6 +43,7 @@
 	g.configs = source(g.platform.Config.Table, apply, gatherConfig)
 	g.endpoints = source(g.platform.Endpoints, drain, drain/gatherPart)
 	g.vms = source(roster.Table, rosterWithin, gatherRoster)
+	g.verdicts = source(poison.Table, g.settings.ContactWithin, 0)
 }
 
 // place tells which VMs of the zone this one may ask.
--- a/loadshare/datagrams.go
+++ b/loadshare/datagrams.go
@@ -55,10 +55,16 @@
 func (x *Exchange) load(r Report, of scope) *sharepb.Load {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	load := &sharepb.Load{Changing: r.Changing, Refusing: r.Refusing, ZoneSum: of == ofZone, RegionSum: of == ofRegion}
+	x.address(load)
+	return load
+}
+
+// address makes this VM the sender of a datagram, which gets the next number. The caller
+// holds mu.
+func (x *Exchange) address(load *sharepb.Load) {
 	x.sequence++
-	return &sharepb.Load{
-		Vm: x.cfg.VM, Zone: x.cfg.Zone, Address: x.cfg.Address,
-		Boot: x.boot, Sequence: x.sequence, Changing: r.Changing, Refusing: r.Refusing, Leaving: x.leaving,
-		Strength: uint32(x.cfg.Strength), ZoneSum: of == ofZone, RegionSum: of == ofRegion,
-	}
+	load.Vm, load.Zone, load.Address = x.cfg.VM, x.cfg.Zone, x.cfg.Address
+	load.Boot, load.Sequence = x.boot, x.sequence
+	load.Leaving, load.Strength = x.leaving, uint32(x.cfg.Strength)
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -81,6 +81,8 @@
 	// Heard takes the newest datagram of a peer. That of a collector stands for its
 	// whole zone (ZoneSum) or for all zones (RegionSum).
 	Heard func(*sharepb.Load)
+	// News takes what other VMs tell with Tell; each piece may come several times.
+	News func(News)
 }
 
 // Report is what one VM, or the VMs of a zone together, tell the others.
@@ -110,6 +112,7 @@
 	newest   map[string]newest
 	sequence uint64
 	leaving  bool
+	news     outbox
 	// lastRound is the number of datagrams that the last round took.
 	lastRound int
 }
@@ -120,7 +123,7 @@
 // New returns an exchange without peers.
 func New(cfg Config) *Exchange {
 	self := Peer{Name: cfg.VM, Zone: cfg.Zone, Strength: cfg.Strength}
-	return &Exchange{cfg: cfg, boot: rand.Uint64(), newest: map[string]newest{}, region: newRegion(self)}
+	return &Exchange{cfg: cfg, boot: rand.Uint64(), newest: map[string]newest{}, region: newRegion(self), news: newOutbox()}
 }
 
 // SetPeers sets whom to tell.
@@ -196,6 +199,7 @@
 			}
 		}
 		x.noteRound(time.Now(), all, round)
+		x.tellNews(conn)
 	}
 }
 
@@ -268,16 +272,21 @@
 	}
 	loads := x.datagrams(m.report, m.of)
 	for _, load := range loads {
-		data, err := proto.Marshal(load)
-		if err != nil {
-			klog.ErrorS(err, "loadshare: load cannot be encoded")
-			continue
-		}
-		x.write(conn, data, m.to)
+		x.sendOne(conn, load, m.to)
 	}
 	return len(loads) * len(m.to)
 }
 
+// sendOne sends one datagram to each of the peers.
+func (x *Exchange) sendOne(conn *net.UDPConn, load *sharepb.Load, to []Peer) {
+	data, err := proto.Marshal(load)
+	if err != nil {
+		klog.ErrorS(err, "loadshare: load cannot be encoded")
+		return
+	}
+	x.write(conn, data, to)
+}
+
 // receive takes datagrams until the socket closes.
 func (x *Exchange) receive(conn *net.UDPConn) {
 	buf := make([]byte, 64<<10)
@@ -303,7 +312,11 @@
 
 // take takes in a datagram.
 func (x *Exchange) take(load *sharepb.Load) {
-	if x.fresh(load) && x.counts(load) {
+	if !x.fresh(load) {
+		return
+	}
+	x.takeNews(load)
+	if x.counts(load) {
 		x.cfg.Heard(load)
 	}
 }
--- a/poison/key.go
+++ b/poison/key.go
@@ -47,3 +47,11 @@
 	_, _ = h.Write(size[:]) // a hash never fails
 	_, _ = h.Write(field)
 }
+
+// parseKey reads a key as datagrams carry it.
+func parseKey(b []byte) (Key, bool) {
+	if len(b) != keySize {
+		return Key{}, false
+	}
+	return Key(b), true
+}
--- a/poison/metrics.go
+++ b/poison/metrics.go
@@ -7,8 +7,17 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// crashesSeen counts reports of endpoints that crashed under runs of this VM.
-var crashesSeen = metrics.NewCounter("springweir_poison_crashes_total")
+var (
+	// crashesSeen counts reports of endpoints that crashed under runs of this VM.
+	crashesSeen = metrics.NewCounter("springweir_poison_crashes_total")
+	// verdictsMade counts requests that this VM found to be to blame, verdictsLearned those
+	// that it read of in the store, and verdictsUnkept those that could not be written there.
+	verdictsMade    = metrics.NewCounter(`springweir_poison_verdicts_total{from="own"}`)
+	verdictsLearned = metrics.NewCounter(`springweir_poison_verdicts_total{from="store"}`)
+	verdictsUnkept  = metrics.NewCounter("springweir_poison_verdicts_unkept_total")
+	// rowsMalformed counts rows of verdicts that could not be understood.
+	rowsMalformed = metrics.NewCounter("springweir_poison_rows_malformed_total")
+)
 
 // maxDescribed bounds the suspects in one line of the log.
 const maxDescribed = 40
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -11,8 +11,11 @@
 	"github.com/springweir/springweir/failure"
 )
 
-// Guard watches what requests do to the endpoints that run them.
+// Guard watches what requests do to the endpoints that run them, and refuses those that crash
+// them.
 type Guard interface {
+	// Check returns why a request must not be run, or nil. It is asked before each attempt.
+	Check(r *Request) *failure.Request
 	// Ended is called after each attempt, but for prefills that were done.
 	Ended(r *Request, e *directory.Endpoint, end RunEnd)
 }
@@ -42,6 +45,9 @@
 // unguarded is the Guard of a Relay that has none.
 type unguarded struct{}
 
+// Check implements Guard.
+func (unguarded) Check(*Request) *failure.Request { return nil }
+
 // Ended implements Guard.
 func (unguarded) Ended(*Request, *directory.Endpoint, RunEnd) {}
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,6 +132,10 @@
 	j.relay.cfg.Budget(j.req.Service).First()
 	defer j.free()
 	for {
+		if failed := j.relay.cfg.Guard.Check(j.req); failed != nil {
+			j.end(ctx, failed)
+			return
+		}
 		plan, failed := j.relay.cfg.Planner.Plan(j.req, j.try())
 		if failed != nil {
 			j.end(ctx, j.unplanned(failed))
