Know a repeat of a request by what it says, wherever it comes from

Cause: the key of a request held its caller's address, and repeats come from many.

Change: the key is of method, host, target, body and credentials. So that no caller can have another's request refused by sending it along with one that does the harm, a crash counts against a request from all addresses only if nothing else from the same address was suspect there; from that address itself every crash counts. A run that broke off waits for the look at its endpoint (20 ms at most, one round trip as a rule) before it is placed anew, so a request that has crashed its third endpoint does not reach a fourth from the same VM. An endpoint found down counts so for two seconds: it may come back under its name. Refusals tell whether the request ran, and why, in their body.

Ruled out: the address as a part of the key (this incident); no notion of where it comes from (one caller could have any request refused whose body it knows).

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -195,7 +196,7 @@
 		after = max(failed.RetryAfter, comeBack)
 	}
 	h.codec.Refuse(w.Header(), id, after)
-	http.Error(w, string(failed.Code), status)
+	http.Error(w, fmt.Sprintf("%s (%s): %s", failed.Code, failed.Ran, failed.Message), status)
 }
 
 // statusOf is the HTTP status of a failure of our own.
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -68,7 +68,7 @@
 		return nil
 	}
 	key := KeyOf(r)
-	switch g.ledger.Standing(key) {
+	switch g.ledger.Standing(key, OriginOf(r)) {
 	case Convicted:
 		klog.InfoS("poison: request refused, its earlier runs crashed endpoints", "request", r.ID, "key", key.String())
 		return &failure.Request{
@@ -92,11 +92,14 @@
 		return
 	}
 	key := KeyOf(r)
-	if !g.ledger.Clear(key) {
+	cleared := g.ledger.Clear(key, OriginOf(r))
+	if len(cleared) == 0 {
 		return
 	}
 	klog.InfoS("poison: request cleared by a whole answer", "request", r.ID, "key", key.String())
-	g.keeper.Drop(key)
+	for _, s := range cleared {
+		g.keeper.Drop(s)
+	}
 	g.cfg.Tell(loadshare.News{Cleared: [][]byte{key[:]}})
 }
 
@@ -104,7 +107,7 @@
 func (g *Guard) crashed(c Crash) {
 	told := &sharepb.Crash{Id: c.ID}
 	for _, s := range c.Suspects {
-		told.Suspects = append(told.Suspects, &sharepb.Suspect{Key: s.Key[:], Streaming: s.Streaming})
+		told.Suspects = append(told.Suspects, &sharepb.Suspect{Key: s.Key[:], Origin: uint32(s.Origin), Streaming: s.Streaming})
 		if len(told.Suspects) == maxTold {
 			g.cfg.Tell(loadshare.News{Crashes: []*sharepb.Crash{told}})
 			told = &sharepb.Crash{Id: c.ID}
@@ -125,8 +128,8 @@
 		g.heardCrash(c)
 	}
 	for _, b := range n.Cleared {
-		if key, ok := parseKey(b); ok && g.ledger.Clear(key) {
-			klog.InfoS("poison: request cleared by a whole answer on another VM", "key", key.String())
+		if key, ok := parseKey(b); ok && len(g.ledger.Clear(key, anyOrigin)) > 0 {
+			klog.V(1).InfoS("poison: request cleared by a whole answer on another VM", "key", key.String())
 		}
 	}
 }
@@ -135,7 +138,7 @@
 	c := Crash{ID: told.Id}
 	for _, s := range told.Suspects {
 		if key, ok := parseKey(s.Key); ok {
-			c.Suspects = append(c.Suspects, Suspect{Key: key, Streaming: s.Streaming})
+			c.Suspects = append(c.Suspects, Suspect{Key: key, Origin: Origin(max(1, s.Origin)), Streaming: s.Streaming})
 		}
 	}
 	g.judgeAfter(g.ledger.Crashed(c), false)
@@ -157,7 +160,7 @@
 func (g *Guard) judge(own bool) {
 	for _, v := range g.ledger.Judge() {
 		verdictsMade.Inc()
-		klog.InfoS("poison: request is refused from now on, endpoints crashed under it", "key", v.Key.String(), "crashes", v.Crashes, "term", v.Term)
+		klog.InfoS("poison: request is refused from now on, endpoints crashed under it", "key", v.Subject.String(), "crashes", v.Crashes, "term", v.Term)
 		g.keeper.Keep(v, own)
 	}
 }
--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
@@ -53,7 +52,7 @@
 
 	mu sync.Mutex
 	// versions are the rows as they stand, by key.
-	versions map[Key]table.Version
+	versions map[Subject]table.Version
 }
 
 // pending is a verdict to write down, or a row to remove.
@@ -73,7 +72,7 @@
 // NewKeeper returns a keeper of a ledger's verdicts. It writes to rows and follows the table by
 // feed.
 func NewKeeper(ledger *Ledger, rows table.Service, feed table.Feed) *Keeper {
-	return &Keeper{ledger: ledger, rows: rows, feed: feed, written: make(chan pending, maxPending), versions: map[Key]table.Version{}}
+	return &Keeper{ledger: ledger, rows: rows, feed: feed, written: make(chan pending, maxPending), versions: map[Subject]table.Version{}}
 }
 
 // Run follows the table and writes to it until ctx ends.
@@ -95,13 +94,13 @@
 }
 
 // Drop has the row of a request removed that may run again.
-func (k *Keeper) Drop(key Key) {
+func (k *Keeper) Drop(s Subject) {
 	k.mu.Lock()
-	version, there := k.versions[key]
-	delete(k.versions, key)
+	version, there := k.versions[s]
+	delete(k.versions, s)
 	k.mu.Unlock()
 	if there {
-		k.enqueue(pending{verdict: Verdict{Key: key}, remove: true, version: version})
+		k.enqueue(pending{verdict: Verdict{Subject: s}, remove: true, version: version})
 	}
 }
 
@@ -110,7 +109,7 @@
 	case k.written <- p:
 	default:
 		verdictsUnkept.Inc()
-		klog.InfoS("poison: verdict not written down, too many wait for the store", "key", p.verdict.Key.String())
+		klog.InfoS("poison: verdict not written down, too many wait for the store", "key", p.verdict.Subject.String())
 	}
 }
 
@@ -144,18 +143,18 @@
 // commit writes one row, unless it stands already, or removes one, unless it has changed. It
 // tells whether that is settled.
 func (k *Keeper) commit(ctx context.Context, p pending) bool {
-	key := rowKey(p.verdict.Key)
+	key := rowKey(p.verdict.Subject)
 	txn := table.Txn{
 		Checks: []table.Check{{Key: key, Version: p.version}},
 		Writes: []table.Write{{Key: key, Delete: p.remove}},
 	}
 	if !p.remove {
-		if k.stands(p.verdict.Key) || k.ledger.Standing(p.verdict.Key) != Convicted {
+		if k.stands(p.verdict.Subject) || !k.ledger.Refuses(p.verdict.Subject) {
 			return true
 		}
 		value, err := json.Marshal(wireVerdict{Crashes: p.verdict.Crashes, TermS: p.verdict.Term.Seconds()})
 		if err != nil {
-			klog.ErrorS(err, "poison: verdict cannot be written down", "key", p.verdict.Key.String())
+			klog.ErrorS(err, "poison: verdict cannot be written down", "key", p.verdict.Subject.String())
 			return true
 		}
 		txn.Writes[0].Value = value
@@ -166,22 +165,22 @@
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
-		klog.InfoS("poison: row written", "key", p.verdict.Key.String(), "removed", p.remove)
+		klog.InfoS("poison: row written", "key", p.verdict.Subject.String(), "removed", p.remove)
 		return true
 	case errors.As(err, &conflict):
 		return true // another VM did it
 	}
-	klog.InfoS("poison: row not written, will be tried again", "key", p.verdict.Key.String(), "err", err)
+	klog.InfoS("poison: row not written, will be tried again", "key", p.verdict.Subject.String(), "err", err)
 	return false
 }
 
-func rowKey(k Key) table.Key { return table.Key{Table: Table, Row: k.String()} }
+func rowKey(s Subject) table.Key { return table.Key{Table: Table, Row: s.String()} }
 
 // stands tells whether a request's row is known to be there.
-func (k *Keeper) stands(key Key) bool {
+func (k *Keeper) stands(s Subject) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	_, there := k.versions[key]
+	_, there := k.versions[s]
 	return there
 }
 
@@ -200,7 +199,7 @@
 func (k *Keeper) list(rows []table.Row) {
 	k.mu.Lock()
 	gone := k.versions
-	k.versions = map[Key]table.Version{}
+	k.versions = map[Subject]table.Version{}
 	k.mu.Unlock()
 	for _, row := range rows {
 		if key, ok := k.take(row); ok {
@@ -219,7 +218,7 @@
 			k.take(c.Row)
 			continue
 		}
-		key, err := keyOfRow(c.Row.Key.Row)
+		key, err := ParseSubject(c.Row.Key.Row)
 		if err != nil {
 			continue // it never held a verdict
 		}
@@ -231,26 +230,26 @@
 }
 
 // take takes in a row. One that cannot be understood convicts nobody.
-func (k *Keeper) take(row table.Row) (Key, bool) {
+func (k *Keeper) take(row table.Row) (Subject, bool) {
 	v, err := decodeVerdict(row)
 	if err != nil {
 		rowsMalformed.Inc()
 		klog.ErrorS(err, "poison: row not understood", "version", row.Version)
-		return Key{}, false
+		return Subject{}, false
 	}
 	k.mu.Lock()
-	k.versions[v.Key] = row.Version
+	k.versions[v.Subject] = row.Version
 	k.mu.Unlock()
 	if k.ledger.Convicted(v) {
 		verdictsLearned.Inc()
-		klog.InfoS("poison: verdict learned", "key", v.Key.String(), "crashes", v.Crashes, "term", v.Term, "version", row.Version)
+		klog.InfoS("poison: verdict learned", "key", v.Subject.String(), "crashes", v.Crashes, "term", v.Term, "version", row.Version)
 	}
-	return v.Key, true
+	return v.Subject, true
 }
 
 // decodeVerdict reads a row. The error is *RowError.
 func decodeVerdict(row table.Row) (Verdict, error) {
-	key, err := keyOfRow(row.Key.Row)
+	subject, err := ParseSubject(row.Key.Row)
 	if err != nil {
 		return Verdict{}, err
 	}
@@ -262,14 +261,5 @@
 	if w.Crashes <= 0 || term <= 0 || term > longestTerm {
 		return Verdict{}, &RowError{Row: row.Key.Row}
 	}
-	return Verdict{Key: key, Crashes: w.Crashes, Term: term}, nil
-}
-
-// keyOfRow reads a row's name. The error is *RowError.
-func keyOfRow(name string) (Key, error) {
-	b, err := hex.DecodeString(name)
-	if err != nil || len(b) != keySize {
-		return Key{}, &RowError{Row: name, Cause: err}
-	}
-	return Key(b), nil
+	return Verdict{Subject: subject, Crashes: w.Crashes, Term: term}, nil
 }
--- a/poison/key.go
+++ b/poison/key.go
@@ -11,7 +11,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"hash"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/springweir/springweir/relay"
 )
@@ -20,26 +25,72 @@
 // key of another's.
 const keySize = 16
 
-// Key names a request by its caller, method, host, target and body, so that the same request
-// has it whenever and wherever it comes.
-//
-// The caller is a part of it: otherwise one could send another's request together with
-// requests that crash endpoints, and so have it refused.
+// Key names a request by its method, host, target, body and credentials, so that the same
+// request has it whenever and wherever it comes. Its caller's address is no part of it: the
+// same request is sent from many addresses.
 type Key [keySize]byte
 
 // String returns the key in hex.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
+// credentials is the header in which callers that have credentials send them.
+const credentials = "Authorization"
+
 // KeyOf returns the key of a request.
 func KeyOf(r *relay.Request) Key {
 	h := sha256.New()
-	for _, field := range []string{r.Caller, r.Method, r.Host, r.Target} {
+	for _, field := range []string{r.Method, r.Host, r.Target, r.Header.Get(credentials)} {
 		part(h, []byte(field))
 	}
 	part(h, r.Body)
 	return Key(h.Sum(nil)[:keySize])
 }
 
+// Origin names the address that a request came from. Zero stands for all addresses.
+type Origin uint32
+
+// anyOrigin stands for all addresses.
+const anyOrigin Origin = 0
+
+// OriginOf returns the origin of a request.
+func OriginOf(r *relay.Request) Origin { return max(1, Origin(xxhash.Sum64String(r.Caller))) }
+
+// Subject is what may be held to blame: a request from one address, or from any.
+type Subject struct {
+	Key    Key
+	Origin Origin
+}
+
+// String returns the key, and the origin if it is not any.
+func (s Subject) String() string {
+	if s.Origin == anyOrigin {
+		return s.Key.String()
+	}
+	return fmt.Sprintf("%s%s%08x", s.Key, originMark, uint32(s.Origin))
+}
+
+// originMark stands between a subject's key and its origin.
+const originMark = "@"
+
+// ParseSubject reads what String returns. The error is *RowError.
+func ParseSubject(text string) (Subject, error) {
+	name, from, scoped := strings.Cut(text, originMark)
+	b, err := hex.DecodeString(name)
+	if err != nil || len(b) != keySize {
+		return Subject{}, &RowError{Row: text, Cause: err}
+	}
+	s := Subject{Key: Key(b)}
+	if !scoped {
+		return s, nil
+	}
+	n, err := strconv.ParseUint(from, 16, 32)
+	if err != nil || n == 0 {
+		return Subject{}, &RowError{Row: text, Cause: err}
+	}
+	s.Origin = Origin(n)
+	return s, nil
+}
+
 // part adds a field with its length, so that no two lists of fields look the same.
 func part(h hash.Hash, field []byte) {
 	var size [8]byte
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -41,7 +41,7 @@
 
 // Verdict is a request that is refused.
 type Verdict struct {
-	Key Key
+	Subject Subject
 	// Crashes is the number of endpoints that it is held to have crashed.
 	Crashes int
 	// Term is how long it is refused.
@@ -69,6 +69,11 @@
 // blame for is no longer held against the others. A request that gets a whole answer is
 // cleared.
 //
+// A request is refused from all addresses only for crashes at which nothing else from the same
+// address was suspect. Otherwise a caller could have another's request refused: by sending it
+// along each time with one of its own that does the harm. From that address itself it is
+// refused for all of its crashes.
+//
 // It is safe for concurrent use; mu is a leaf.
 type Ledger struct {
 	now func() time.Time
@@ -77,8 +82,8 @@
 
 	mu       sync.Mutex
 	crashes  map[uint64]*crash
-	suspects map[Key]*suspect
-	verdicts map[Key]*verdict
+	suspects map[Subject]*suspect
+	verdicts map[Subject]*verdict
 	// expired is when what is too old was last looked for.
 	expired time.Time
 }
@@ -87,7 +92,7 @@
 type crash struct {
 	at time.Time
 	// suspects are the requests that were at work there, and whether each had given events.
-	suspects map[Key]bool
+	suspects map[Subject]bool
 	// explained is set once a request that was there is held to blame.
 	explained bool
 }
@@ -113,7 +118,7 @@
 func NewLedger(now func() time.Time, settle func() time.Duration) *Ledger {
 	return &Ledger{
 		now: clock.OrSystem(now), settle: settle,
-		crashes: map[uint64]*crash{}, suspects: map[Key]*suspect{}, verdicts: map[Key]*verdict{},
+		crashes: map[uint64]*crash{}, suspects: map[Subject]*suspect{}, verdicts: map[Subject]*verdict{},
 	}
 }
 
@@ -125,16 +130,32 @@
 }
 
 // Standing tells whether a request may run.
-func (l *Ledger) Standing(k Key) Standing {
+func (l *Ledger) Standing(k Key, from Origin) Standing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch s := l.suspects[k]; {
-	case l.verdicts[k] != nil:
-		return Convicted
-	case s != nil && !s.due.IsZero() && l.now().Before(s.due):
-		return Suspected
+	now := l.now()
+	worst := Free
+	for _, subject := range subjects(k, from) {
+		switch s := l.suspects[subject]; {
+		case l.verdicts[subject] != nil:
+			return Convicted
+		case s != nil && !s.due.IsZero() && now.Before(s.due):
+			worst = Suspected
+		}
 	}
-	return Free
+	return worst
+}
+
+// subjects are those as which a request counts.
+func subjects(k Key, from Origin) []Subject {
+	return []Subject{{Key: k}, {Key: k, Origin: from}}
+}
+
+// Refuses tells whether there is a verdict.
+func (l *Ledger) Refuses(s Subject) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.verdicts[s] != nil
 }
 
 // Crashed takes in an account of a crash, of this VM or another, and returns how long after
@@ -146,7 +167,7 @@
 	l.expire(now)
 	known := l.crashes[c.ID]
 	if known == nil {
-		known = &crash{at: now, suspects: map[Key]bool{}}
+		known = &crash{at: now, suspects: map[Subject]bool{}}
 		l.crashes[c.ID] = known
 	}
 	for _, s := range c.Suspects {
@@ -158,21 +179,25 @@
 
 // accuse notes a request that was at work on an endpoint that crashed. The caller holds mu.
 func (l *Ledger) accuse(id uint64, c *crash, s Suspect, now time.Time) {
-	if l.verdicts[s.Key] != nil {
-		c.explained = true
-		return
-	}
-	streaming, known := c.suspects[s.Key]
-	if !known && len(c.suspects) >= maxPerCrash {
-		return
+	for _, subject := range subjects(s.Key, s.Origin) {
+		if l.verdicts[subject] != nil {
+			c.explained = true
+			return
+		}
 	}
-	c.suspects[s.Key] = s.Streaming && (streaming || !known)
-	one := l.suspects[s.Key]
-	if one == nil {
-		one = &suspect{crashes: map[uint64]bool{}}
-		l.suspects[s.Key] = one
+	for _, subject := range subjects(s.Key, s.Origin) {
+		streaming, known := c.suspects[subject]
+		if !known && len(c.suspects) >= maxPerCrash {
+			return
+		}
+		c.suspects[subject] = s.Streaming && (streaming || !known)
+		one := l.suspects[subject]
+		if one == nil {
+			one = &suspect{crashes: map[uint64]bool{}}
+			l.suspects[subject] = one
+		}
+		one.crashes[id], one.last = true, now
 	}
-	one.crashes[id], one.last = true, now
 }
 
 // schedule sets when the requests of a crash are to be judged. The caller holds mu.
@@ -180,9 +205,11 @@
 	settle := l.settle()
 	wanted := false
 	for _, s := range c.Suspects {
-		if one := l.suspects[s.Key]; one != nil && one.due.IsZero() && l.score(s.Key) >= crashesToConvict {
-			one.due = now.Add(settle)
-			wanted = true
+		for _, subject := range subjects(s.Key, s.Origin) {
+			if one := l.suspects[subject]; one != nil && one.due.IsZero() && l.score(subject) >= crashesToConvict {
+				one.due = now.Add(settle)
+				wanted = true
+			}
 		}
 	}
 	if !wanted {
@@ -192,7 +219,7 @@
 }
 
 // score is the number of crashes that a request may be to blame for. The caller holds mu.
-func (l *Ledger) score(k Key) int {
+func (l *Ledger) score(k Subject) int {
 	s := l.suspects[k]
 	if s == nil {
 		return 0 // forgotten, for want of room
@@ -210,20 +237,42 @@
 }
 
 // blames tells whether a request may be to blame for a crash: one that had given events only
-// if all had.
-func (c *crash) blames(k Key) bool {
+// if all had, and as one of any address only if nothing else from its address may.
+func (c *crash) blames(k Subject) bool {
 	streaming, there := c.suspects[k]
-	if !there || !streaming {
-		return there
+	if !there || streaming && !c.allStreaming() {
+		return false
 	}
-	for _, s := range c.suspects {
-		if !s {
+	return k.Origin != anyOrigin || c.alone(k.Key, streaming)
+}
+
+// allStreaming tells whether all requests that were there had given events.
+func (c *crash) allStreaming() bool {
+	for _, streaming := range c.suspects {
+		if !streaming {
 			return false
 		}
 	}
 	return true
 }
 
+// alone tells whether a request came from some address of which nothing else that was there
+// may be to blame.
+func (c *crash) alone(k Key, streaming bool) bool {
+	others := map[Origin]bool{}
+	for s, had := range c.suspects {
+		if s.Key != k && had == streaming {
+			others[s.Origin] = true
+		}
+	}
+	for s, had := range c.suspects {
+		if s.Key == k && s.Origin != anyOrigin && had == streaming && !others[s.Origin] {
+			return true
+		}
+	}
+	return false
+}
+
 // Judge decides on the requests whose time has come and returns the new verdicts, the worst
 // first.
 func (l *Ledger) Judge() []Verdict {
@@ -249,8 +298,8 @@
 
 // worst returns the requests to convict next: those to blame for the most crashes. The caller
 // holds mu.
-func (l *Ledger) worst(now time.Time) []Key {
-	var worst []Key
+func (l *Ledger) worst(now time.Time) []Subject {
+	var worst []Subject
 	most := crashesToConvict
 	for k, s := range l.suspects {
 		if s.due.IsZero() || s.due.After(now) {
@@ -269,14 +318,14 @@
 }
 
 // tied tells whether another request was there as often. The caller holds mu.
-func (l *Ledger) tied(k Key, score int) bool {
+func (l *Ledger) tied(k Subject, score int) bool {
 	for id := range l.suspects[k].crashes {
 		c := l.crashes[id]
 		if c == nil || c.explained || !c.blames(k) {
 			continue
 		}
 		for other := range c.suspects {
-			if other != k && c.blames(other) && l.score(other) >= score {
+			if other.Key != k.Key && c.blames(other) && l.score(other) >= score {
 				return true
 			}
 		}
@@ -284,11 +333,16 @@
 	return false
 }
 
-// convict makes requests be refused. The caller holds mu.
-func (l *Ledger) convict(keys []Key, now time.Time) []Verdict {
-	list := make([]Verdict, 0, len(keys))
-	for _, k := range keys {
-		list = append(list, Verdict{Key: k, Crashes: l.score(k), Term: max(firstTerm, l.suspects[k].paroled)})
+// convict makes requests be refused. One refused from all addresses needs no verdict for a
+// single one. The caller holds mu.
+func (l *Ledger) convict(worst []Subject, now time.Time) []Verdict {
+	var list []Verdict
+	for _, k := range worst {
+		if k.Origin != anyOrigin && slices.Contains(worst, Subject{Key: k.Key}) {
+			l.suspects[k].due = time.Time{}
+			continue
+		}
+		list = append(list, Verdict{Subject: k, Crashes: l.score(k), Term: max(firstTerm, l.suspects[k].paroled)})
 	}
 	for _, v := range list {
 		l.refuse(v, now)
@@ -298,22 +352,22 @@
 
 // refuse takes in a verdict. The caller holds mu.
 func (l *Ledger) refuse(v Verdict, now time.Time) {
-	if s := l.suspects[v.Key]; s != nil {
+	if s := l.suspects[v.Subject]; s != nil {
 		for id := range s.crashes {
 			if c := l.crashes[id]; c != nil {
 				c.explained = true
 			}
 		}
-		delete(l.suspects, v.Key)
+		delete(l.suspects, v.Subject)
 	}
-	l.verdicts[v.Key] = &verdict{Verdict: v, since: now}
+	l.verdicts[v.Subject] = &verdict{Verdict: v, since: now}
 }
 
 // Convicted takes in a verdict that another VM made, and tells whether it is new here.
 func (l *Ledger) Convicted(v Verdict) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.verdicts[v.Key] != nil {
+	if l.verdicts[v.Subject] != nil {
 		return false
 	}
 	l.refuse(v, l.now())
@@ -321,47 +375,58 @@
 	return true
 }
 
-// Clear takes in that a request got a whole answer, and tells whether anything was held
-// against it.
-func (l *Ledger) Clear(k Key) bool {
+// Clear takes in that a request got a whole answer, and returns what was held against it.
+func (l *Ledger) Clear(k Key, from Origin) []Subject {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.suspects[k]
-	refused := l.verdicts[k] != nil
-	if s != nil {
-		for id := range s.crashes {
+	known := slices.ContainsFunc(subjects(k, from), func(s Subject) bool { return l.suspects[s] != nil || l.verdicts[s] != nil })
+	if !known {
+		return nil
+	}
+	var list []Subject
+	for s, one := range l.suspects {
+		if s.Key != k {
+			continue
+		}
+		for id := range one.crashes {
 			if c := l.crashes[id]; c != nil {
-				delete(c.suspects, k)
+				delete(c.suspects, s)
 			}
 		}
+		delete(l.suspects, s)
+		list = append(list, s)
+	}
+	for s := range l.verdicts {
+		if s.Key == k {
+			delete(l.verdicts, s)
+			list = append(list, s)
+		}
 	}
-	delete(l.suspects, k)
-	delete(l.verdicts, k)
-	return s != nil || refused
+	return list
 }
 
 // Release ends the term of a verdict. The request may run again, and its next crash convicts
 // it once more, for twice as long.
-func (l *Ledger) Release(k Key) {
+func (l *Ledger) Release(s Subject) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := l.verdicts[k]
+	v := l.verdicts[s]
 	if v == nil {
 		return
 	}
-	delete(l.verdicts, k)
-	l.suspects[k] = &suspect{crashes: map[uint64]bool{}, last: l.now(), paroled: min(2*v.Term, longestTerm)}
+	delete(l.verdicts, s)
+	l.suspects[s] = &suspect{crashes: map[uint64]bool{}, last: l.now(), paroled: min(2*v.Term, longestTerm)}
 }
 
 // Served returns the verdicts whose term is over.
-func (l *Ledger) Served() []Key {
+func (l *Ledger) Served() []Subject {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	var list []Key
-	for k, v := range l.verdicts {
+	var list []Subject
+	for s, v := range l.verdicts {
 		if now.Sub(v.since) >= v.Term {
-			list = append(list, k)
+			list = append(list, s)
 		}
 	}
 	return list
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -29,6 +30,9 @@
 
 func key(name string) Key { return KeyOf(request("caller", name, name)) }
 
+// everyone is a request from any address.
+func everyone(name string) Subject { return Subject{Key: key(name)} }
+
 // there makes suspects of names; one in capitals had given events.
 func there(names string) []Suspect {
 	var list []Suspect
@@ -38,7 +42,7 @@
 		if streaming {
 			name = string(c - 'A' + 'a')
 		}
-		list = append(list, Suspect{Key: key(name), Request: name, Streaming: streaming})
+		list = append(list, Suspect{Key: key(name), Origin: Origin(c), Request: name, Streaming: streaming})
 	}
 	return list
 }
@@ -56,7 +60,7 @@
 	text := ""
 	for _, v := range b.Judge() {
 		for c := 'a'; c <= 'z'; c++ {
-			if key(string(c)) == v.Key {
+			if key(string(c)) == v.Subject.Key && v.Subject.Origin == anyOrigin {
 				text += string(c)
 			}
 		}
@@ -133,7 +137,7 @@
 	b.crash(1, "ka")
 	b.crash(2, "kb")
 	b.Crashed(Crash{ID: 3, Suspects: there("kc")})
-	if got := b.Standing(key("k")); got != Suspected {
+	if got := b.Standing(key("k"), 'k'); got != Suspected {
 		t.Errorf("while the news goes round it is %d, want suspected", got)
 	}
 	b.pass(settleTime)
@@ -141,7 +145,7 @@
 		t.Fatalf("convicted %q", got)
 	}
 	for name, want := range map[string]Standing{"k": Convicted, "a": Free, "b": Free, "c": Free, "d": Free} {
-		if got := b.Standing(key(name)); got != want {
+		if got := b.Standing(key(name), Origin(name[0])); got != want {
 			t.Errorf("%s is %d, want %d", name, got, want)
 		}
 	}
@@ -157,7 +161,7 @@
 	b := newBook()
 	b.crash(1, "a")
 	b.crash(2, "a")
-	if !b.Clear(key("a")) {
+	if len(b.Clear(key("a"), 'a')) == 0 {
 		t.Error("nothing was held against it")
 	}
 	if got := b.crash(3, "a"); got != "" {
@@ -167,10 +171,10 @@
 	if got := b.crash(5, "a"); got != "a" {
 		t.Errorf("%q convicted, want a", got)
 	}
-	if b.Clear(key("a")); b.Standing(key("a")) != Free {
+	if b.Clear(key("a"), 'a'); b.Standing(key("a"), 'a') != Free {
 		t.Error("a verdict outlasts a whole answer")
 	}
-	if b.Clear(key("z")) {
+	if len(b.Clear(key("z"), 'z')) != 0 {
 		t.Error("something was held against a request that did nothing")
 	}
 }
@@ -189,11 +193,11 @@
 			t.Fatalf("served a second before its term of %v was over", term)
 		}
 		b.pass(time.Second)
-		if got := b.Served(); len(got) != 1 || got[0] != key("k") {
+		if got := b.Served(); len(got) != 1 || got[0] != everyone("k") {
 			t.Fatalf("served %v after a term of %v", got, term)
 		}
-		b.Release(key("k"))
-		if b.Standing(key("k")) != Free {
+		b.Release(everyone("k"))
+		if b.Standing(key("k"), 'k') != Free {
 			t.Fatal("refused after its term")
 		}
 		if got := b.crash(n, "k"); got != "k" {
@@ -202,7 +206,7 @@
 		term = min(2*term, longestTerm)
 	}
 	b.pass(term)
-	b.Release(key("k"))
+	b.Release(everyone("k"))
 	b.pass(longestTerm + time.Second)
 	if got := b.crash(20, "k"); got != "" {
 		t.Errorf("%q convicted by a single crash, hours after its term", got)
@@ -214,14 +218,14 @@
 	b := newBook()
 	b.crash(1, "ka")
 	b.crash(2, "ka")
-	if !b.Convicted(Verdict{Key: key("k"), Crashes: 3, Term: firstTerm}) {
+	if !b.Convicted(Verdict{Subject: everyone("k"), Crashes: 3, Term: firstTerm}) {
 		t.Error("the verdict is not new")
 	}
-	if b.Convicted(Verdict{Key: key("k"), Crashes: 3, Term: firstTerm}) {
+	if b.Convicted(Verdict{Subject: everyone("k"), Crashes: 3, Term: firstTerm}) {
 		t.Error("the same verdict is new again")
 	}
-	if got := b.crash(3, "a"); got != "" || b.Standing(key("k")) != Convicted {
-		t.Errorf("%q convicted; k is %d", got, b.Standing(key("k")))
+	if got := b.crash(3, "a"); got != "" || b.Standing(key("k"), 'k') != Convicted {
+		t.Errorf("%q convicted; k is %d", got, b.Standing(key("k"), 'k'))
 	}
 }
 
@@ -243,7 +247,7 @@
 	for id := range uint64(20_000) {
 		var k Key
 		binary.BigEndian.PutUint64(k[:], id)
-		b.Crashed(Crash{ID: id, Suspects: []Suspect{{Key: k}, {Key: key("a"), Streaming: true}}})
+		b.Crashed(Crash{ID: id, Suspects: []Suspect{{Key: k, Origin: 1}, {Key: key("a"), Origin: 2, Streaming: true}}})
 		b.pass(10 * time.Millisecond)
 	}
 	if len(b.crashes) > maxCrashes || len(b.suspects) > maxSuspects {
@@ -252,7 +256,7 @@
 	for id := range uint64(maxVerdicts + 10) {
 		var k Key
 		binary.BigEndian.PutUint64(k[8:], id+1)
-		b.Convicted(Verdict{Key: k, Crashes: 3, Term: firstTerm})
+		b.Convicted(Verdict{Subject: Subject{Key: k}, Crashes: 3, Term: firstTerm})
 		b.pass(time.Millisecond)
 	}
 	if len(b.verdicts) > maxVerdicts {
@@ -268,7 +272,7 @@
 	b := newBook()
 	var list []Suspect
 	for i := range 10 * maxPerCrash {
-		list = append(list, Suspect{Key: key(fmt.Sprint(i))})
+		list = append(list, Suspect{Key: key(fmt.Sprint(i)), Origin: 1})
 	}
 	b.Crashed(Crash{ID: 1, Suspects: list})
 	if len(b.suspects) > maxPerCrash {
@@ -285,9 +289,65 @@
 		for i := range uint64(24) {
 			var k Key
 			binary.BigEndian.PutUint64(k[:], id<<8|i)
-			list = append(list, Suspect{Key: k})
+			list = append(list, Suspect{Key: k, Origin: Origin(1 + i)})
 		}
 		l.Crashed(Crash{ID: id, Suspects: list})
 		l.pass(time.Millisecond)
 	}
 }
+
+// from makes suspects of letters with their origins, as in "k1a2".
+func from(text string) []Suspect {
+	var list []Suspect
+	for i := 0; i+1 < len(text); i += 2 {
+		list = append(list, Suspect{Key: key(text[i : i+1]), Origin: Origin(text[i+1]), Request: text[i : i+1]})
+	}
+	return list
+}
+
+// A letter is a request and a digit the address that it came from.
+func TestWhoseRequestsAreRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes []string
+		// refused and free are requests and where they come from.
+		refused, free []string
+	}{
+		{"one that comes from other addresses each time", []string{"k1", "k2", "k3"}, []string{"k1", "k4"}, []string{"a1"}},
+		{"one that comes from a single address", []string{"k1", "k1", "k1"}, []string{"k1", "k2"}, []string{"a1"}},
+		{"one that is sent along with others that do the harm", []string{"v9x9", "v9y9", "v9z9"}, []string{"v9"}, []string{"v1", "x9"}},
+		{"the same, beside innocents of other addresses", []string{"v9x9a1", "v9y9b2", "v9z9c3"}, []string{"v9"}, []string{"v1", "a1"}},
+		{"one that is there alone often enough", []string{"k1a1", "k1", "k2", "k1"}, []string{"k1", "k7"}, []string{"a1"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBook()
+			for id, names := range tc.crashes {
+				if wait := b.Crashed(Crash{ID: uint64(id), Suspects: from(names)}); wait > 0 {
+					b.pass(wait)
+				}
+				b.Judge()
+			}
+			for want, list := range map[Standing][]string{Convicted: tc.refused, Free: tc.free} {
+				for _, one := range list {
+					if got := b.Standing(key(one[:1]), Origin(one[1])); got != want {
+						t.Errorf("%s stands at %d, want %d", one, got, want)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestSubjectsAreWrittenAndRead(t *testing.T) {
+	for _, want := range []Subject{everyone("k"), {Key: key("k"), Origin: 1}, {Key: key("k"), Origin: 1<<32 - 1}} {
+		if got, err := ParseSubject(want.String()); err != nil || got != want {
+			t.Errorf("%s is read as %s, %v", want, got, err)
+		}
+	}
+	for _, text := range []string{"", "zz", key("k").String() + "00", key("k").String() + "@", key("k").String() + "@0", key("k").String() + "@123456789"} {
+		var malformed *RowError
+		if _, err := ParseSubject(text); !errors.As(err, &malformed) {
+			t.Errorf("%q is read without a RowError: %v", text, err)
+		}
+	}
+}
--- a/poison/metrics.go
+++ b/poison/metrics.go
@@ -34,7 +34,7 @@
 		if i > 0 {
 			b.WriteByte(' ')
 		}
-		fmt.Fprintf(&b, "%s=%s", s.Request, s.Key)
+		fmt.Fprintf(&b, "%s=%s", s.Request, Subject{Key: s.Key, Origin: s.Origin})
 		if s.Streaming {
 			b.WriteString("(streaming)")
 		}
--- a/poison/runs.go
+++ b/poison/runs.go
@@ -21,6 +21,10 @@
 	// under: its connection may break before the others' do, and an engine may still be at
 	// work on a request that this VM has given up on.
 	memory = 2 * time.Second
+	// lookWait is how long a run that broke off waits for the look at its endpoint, so that it
+	// is not placed anew before it is known what it did: some round trips. Without it a request
+	// whose third endpoint has crashed reached a fourth.
+	lookWait = 20 * time.Millisecond
 	// maxEnded bounds the runs kept for one endpoint: more than its slots and its queue hold.
 	maxEnded = 256
 )
@@ -28,6 +32,8 @@
 // Suspect is a request that was at work on an endpoint when that crashed.
 type Suspect struct {
 	Key Key
+	// Origin is where it came from.
+	Origin Origin
 	// Request is its id, for the log.
 	Request string
 	// Streaming tells that it had given events before, there or elsewhere. One that crashes
@@ -68,8 +74,10 @@
 
 // site is what is known of one start of an endpoint.
 type site struct {
-	// probing is set while a look is under way, and down once one has found the endpoint gone.
-	probing, down bool
+	// look is closed once the look that is under way is over, and nil if none is.
+	look chan struct{}
+	// downAt is when a look, here or on another VM, found the endpoint gone.
+	downAt time.Time
 	// ended are the runs that ended badly, oldest first.
 	ended []endedRun
 }
@@ -91,7 +99,8 @@
 // CrashID names the end of one start of an endpoint, alike on all VMs.
 func CrashID(e *directory.Endpoint) uint64 { return xxhash.Sum64String(e.Incarnation()) }
 
-// Ended takes in the end of a run that got no whole answer.
+// Ended takes in the end of a run. If the run broke off, it returns once it is known whether
+// its endpoint crashed, or after lookWait.
 func (r *Runs) Ended(request *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
 	if end.Outcome == relay.RunAnswered || end.Outcome == relay.RunRefused {
 		return
@@ -100,30 +109,49 @@
 	run := endedRun{request: request, streaming: end.Streaming, at: now}
 	r.mu.Lock()
 	s := r.site(e, now)
-	if s.down {
+	if s.down(now) {
 		r.mu.Unlock()
 		r.report(e, []endedRun{run})
 		return
 	}
 	s.ended = append(s.ended, run)
 	s.ended = s.ended[max(0, len(s.ended)-maxEnded):]
-	probe := end.Outcome == relay.RunBroke && !s.probing
-	s.probing = s.probing || probe
+	if end.Outcome == relay.RunBroke && s.look == nil {
+		s.look = make(chan struct{})
+		go r.probe(e, s.look)
+	}
+	look := s.look
 	r.mu.Unlock()
-	if probe {
-		go r.probe(e)
+	if end.Outcome == relay.RunBroke {
+		await(look)
+	}
+}
+
+// await waits for the end of a look, but not for long.
+func await(look <-chan struct{}) {
+	timer := time.NewTimer(lookWait)
+	defer timer.Stop()
+	select {
+	case <-look:
+	case <-timer.C:
 	}
 }
 
+// down tells whether the endpoint was found gone lately. Later it may have come back under
+// the same name.
+func (s *site) down(now time.Time) bool {
+	return !s.downAt.IsZero() && now.Sub(s.downAt) <= memory
+}
+
 // Learned takes in that an endpoint has crashed, as another VM found.
 func (r *Runs) Learned(e *directory.Endpoint) { r.fell(e) }
 
 // probe looks whether an endpoint is down.
-func (r *Runs) probe(e *directory.Endpoint) {
+func (r *Runs) probe(e *directory.Endpoint, look chan struct{}) {
+	defer close(look)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	down := r.cfg.Down(ctx, e)
-	cancel()
-	if down {
+	defer cancel()
+	if r.cfg.Down(ctx, e) {
 		r.fell(e)
 		return
 	}
@@ -131,7 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.byID[e.Incarnation()]; s != nil {
-		s.probing = false
+		s.look = nil
 	}
 }
 
@@ -140,13 +168,8 @@
 	now := r.cfg.Now()
 	r.mu.Lock()
 	s := r.site(e, now)
-	s.probing, s.down = false, true
-	var runs []endedRun
-	for _, run := range s.ended {
-		if now.Sub(run.at) <= memory {
-			runs = append(runs, run)
-		}
-	}
+	s.look, s.downAt = nil, now
+	runs := s.ended
 	s.ended = nil
 	r.mu.Unlock()
 	if len(runs) > 0 {
@@ -159,7 +182,7 @@
 func (r *Runs) report(e *directory.Endpoint, runs []endedRun) {
 	crash := Crash{ID: CrashID(e)}
 	for _, run := range runs {
-		crash.Suspects = append(crash.Suspects, Suspect{Key: KeyOf(run.request), Request: run.request.ID, Streaming: run.streaming})
+		crash.Suspects = append(crash.Suspects, Suspect{Key: KeyOf(run.request), Origin: OriginOf(run.request), Request: run.request.ID, Streaming: run.streaming})
 	}
 	crashesSeen.Inc()
 	klog.InfoS("poison: endpoint crashed", "endpoint", e.ID, "born", e.Born, "service", e.Service, "crash", crash.ID, "suspects", describe(crash.Suspects))
--- a/poison/runs_test.go
+++ b/poison/runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,15 +125,16 @@
 	}
 }
 
-// A request is the same whatever its id; one of another caller, path or body is not.
+// A request is the same whatever its id and address; one with other credentials, another path
+// or body is not.
 func TestKeyOf(t *testing.T) {
 	base := func() *relay.Request { return request("caller", "id", "body") }
-	same := request("caller", "other id", "body")
+	same := request("another address", "other id", "body")
 	if KeyOf(base()) != KeyOf(same) {
 		t.Error("the id makes a difference")
 	}
 	for name, change := range map[string]func(*relay.Request){
-		"caller":             func(r *relay.Request) { r.Caller = "another" },
+		"credential":         func(r *relay.Request) { r.Header = http.Header{"Authorization": {"Bearer x"}} },
 		"method":             func(r *relay.Request) { r.Method = "PUT" },
 		"host":               func(r *relay.Request) { r.Host = "i" },
 		"target":             func(r *relay.Request) { r.Target = "/p?q" },
