Let every age, lease and deadline go on while the VM is suspended

Cause: they rest on Go's monotonic clock, which stands still while a VM is suspended; the window of the retry budget rests on the time of day, which steps.

Change: internal/clock is the one place: time since the start, suspensions included, never stepping.

Ruled out: the time of day (it steps); setting the runtime's timers anew in each package.

--- a/feedshare/cache.go
+++ b/feedshare/cache.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/table"
 )
 
@@ -111,19 +112,19 @@
 func (c *cache) askedLately() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.lastAsked) < askedMemory
+	return clock.Since(c.lastAsked) < askedMemory
 }
 
 // fit tells whether what is known may be passed on. The caller holds mu.
-func (c *cache) fit() bool { return c.confirmed != toldByVM && time.Since(c.confirmed) <= c.freshFor }
+func (c *cache) fit() bool { return c.confirmed != toldByVM && clock.Since(c.confirmed) <= c.freshFor }
 
 // list returns the whole table. It waits for a short while if nothing was read yet.
 func (c *cache) list(ctx context.Context, name string) ([]table.Row, table.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, startWait)
+	ctx, cancel := clock.WithTimeout(ctx, startWait)
 	defer cancel()
 	for {
 		c.mu.Lock()
-		c.lastAsked = time.Now()
+		c.lastAsked = clock.Now()
 		if c.fit() {
 			rows, at := slices.Collect(maps.Values(c.rows)), c.version
 			c.mu.Unlock()
@@ -141,7 +142,7 @@
 func (c *cache) changes(ctx context.Context, name string, after table.Version) ([]table.Change, table.Version, error) {
 	for {
 		c.mu.Lock()
-		c.lastAsked = time.Now()
+		c.lastAsked = clock.Now()
 		changed, at := c.changed, c.version
 		list, err := c.since(name, after)
 		c.mu.Unlock()
--- a/feedshare/server.go
+++ b/feedshare/server.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/springweir/springweir/feedshare/feedpb"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/table"
 )
 
@@ -50,7 +51,7 @@
 	if source == nil {
 		return nil, twirp.NotFoundError("no such table: " + r.Table)
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, maxPeerWait))
+	ctx, cancel := clock.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, maxPeerWait))
 	defer cancel()
 	changes, at, err := source.cache.changes(ctx, r.Table, table.Version(r.After))
 	if err != nil {
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/table"
 )
@@ -22,7 +23,7 @@
 // List implements table.Feed.
 func (s *Source) List(ctx context.Context, name string) ([]table.Row, table.Version, error) {
 	for _, address := range s.candidates() {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		ctx, cancel := clock.WithTimeout(ctx, listTimeout)
 		rows, at, err := s.peers.List(ctx, address, name)
 		cancel()
 		if err == nil && at < s.cache.at() {
@@ -48,7 +49,7 @@
 		return nil, 0, err
 	}
 	s.answered(fromStore, at)
-	s.cache.reset(rows, at, time.Now())
+	s.cache.reset(rows, at, clock.Now())
 	return rows, at, nil
 }
 
@@ -67,7 +68,7 @@
 
 // askPeer asks another VM for changes.
 func (s *Source) askPeer(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerWaitMargin)
+	ctx, cancel := clock.WithTimeout(ctx, wait+peerWaitMargin)
 	defer cancel()
 	changes, next, err := s.peers.Changes(ctx, address, name, after, wait)
 	if err != nil {
@@ -82,23 +83,23 @@
 	if err := s.resting(); err != nil {
 		return nil, 0, err
 	}
-	if pause := time.Until(s.gatherUntil); pause > 0 {
+	if pause := clock.Until(s.gatherUntil); pause > 0 {
 		loop.Sleep(ctx, pause)
 	}
 	if s.serves() {
 		wait = min(wait, s.settings.wait())
 	}
-	asked := time.Now()
+	asked := clock.Now()
 	changes, next, err := s.store.Changes(ctx, name, after, wait)
 	if err != nil {
 		s.lost(err)
 		return nil, 0, err
 	}
 	if len(changes) > 0 {
-		s.gatherUntil = time.Now().Add(s.settings.Gather)
+		s.gatherUntil = clock.Now().Add(s.settings.Gather)
 	}
 	s.answered(fromStore, next)
-	s.cache.apply(after, changes, next, earlier(time.Now(), asked.Add(wait+storeSlack)))
+	s.cache.apply(after, changes, next, earlier(clock.Now(), asked.Add(wait+storeSlack)))
 	return changes, next, nil
 }
 
@@ -116,7 +117,7 @@
 
 // candidates are the VMs to ask, without those that are in doubt.
 func (s *Source) candidates() []string {
-	now := time.Now()
+	now := clock.Now()
 	var list []string
 	for _, address := range s.place().Before {
 		if now.After(s.doubted[address]) {
@@ -137,12 +138,12 @@
 	if errors.As(err, &noNews) && s.resting() != nil {
 		return
 	}
-	s.doubted[address] = time.Now().Add(loop.Jitter(doubt))
+	s.doubted[address] = clock.Now().Add(loop.Jitter(doubt))
 }
 
 // resting returns why the store is left alone now, or nil.
 func (s *Source) resting() error {
-	if time.Now().Before(s.restUntil) {
+	if clock.Now().Before(s.restUntil) {
 		return &RestingError{Table: s.table, Cause: s.away}
 	}
 	return nil
@@ -159,7 +160,7 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_feed_lost_total{table=%q}`, s.table)).Inc()
 	if len(s.place().Before) > 0 {
 		clear(s.doubted)
-		s.restUntil, s.away = time.Now().Add(loop.Jitter(rest)), err
+		s.restUntil, s.away = clock.Now().Add(loop.Jitter(rest)), err
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/feedshare"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/loadshare"
@@ -183,6 +184,7 @@
 	group.Go(func() error { g.awaitPeers(work); g.followConfig(work); return nil })
 	group.Go(func() error { g.awaitPeers(work); g.followEndpoints(work); return nil })
 	group.Go(func() error { g.forgetEndpoints(work); return nil })
+	group.Go(func() error { clock.Watch(work); return nil })
 	group.Go(func() error { g.roster.Run(work); return nil })
 	group.Go(func() error { g.awaitPeers(work); g.guard.Run(work); return nil })
 	group.Go(func() error { g.roles.Run(duties); return nil })
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/prompt"
 	"github.com/springweir/springweir/relay"
 )
@@ -51,7 +52,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	began := time.Now() // the caller waits while its body comes in, too
+	began := clock.Now() // the caller waits while its body comes in, too
 	if h.state.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -143,7 +144,7 @@
 	observe(req, result)
 	klog.InfoS("gateway: request ended", "request", req.ID, "route", req.Route.Name, "config", h.state.version(),
 		"status", result.Status, "begun", result.Begun, "endpoint", result.Endpoint, "attempts", result.Attempts,
-		"events", result.Events, "firstMS", result.First.Milliseconds(), "pauseMS", result.Pause.Milliseconds(), "tookMS", time.Since(req.Received).Milliseconds(),
+		"events", result.Events, "firstMS", result.First.Milliseconds(), "pauseMS", result.Pause.Milliseconds(), "tookMS", clock.Since(req.Received).Milliseconds(),
 		"failure", codeOf(result.Failed), "cause", causeOf(result.Failed), "ran", ranOf(result.Failed))
 	switch {
 	case result.Failed == nil:
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/network"
 )
 
@@ -152,7 +153,7 @@
 		if c == nil {
 			return nil
 		}
-		unused := time.Since(c.idleSince)
+		unused := clock.Since(c.idleSince)
 		if unused < min(c.keep, maxIdle) && quiet(c.Conn) {
 			return c
 		}
@@ -175,7 +176,7 @@
 
 // put keeps a connection for the next exchange.
 func (p *Pool) put(c *conn) {
-	c.idleSince = time.Now()
+	c.idleSince = clock.Now()
 	p.mu.Lock()
 	var old *conn
 	switch {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/table"
 )
@@ -95,7 +96,7 @@
 			return nil, 0, err
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	obs.see(row.Version, now)
 	if wait := takeoverWait(row, rec, *obs, h.cfg.TTL, now); wait > 0 {
 		return nil, wait, nil
@@ -113,7 +114,7 @@
 		fence: max(old.Fence, h.floor.Load()) + 1,
 		lost:  make(chan struct{}),
 	}
-	sent := time.Now()
+	sent := clock.Now()
 	version, err := l.write(ctx, row.Version, l.record())
 	if err != nil {
 		return nil, err
@@ -182,12 +183,12 @@
 // sent. It gives up when the authority ends. It returns the mean time to wait
 // before the next renewal.
 func (l *Lease) renew(deadline time.Time) time.Duration {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := clock.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	l.mu.Lock()
 	version := l.version
 	l.mu.Unlock()
-	sent := time.Now()
+	sent := clock.Now()
 	next, err := l.write(ctx, version, l.record())
 	var conflict *table.ConflictError
 	switch {
@@ -212,7 +213,7 @@
 		return
 	}
 	l.lose(GivenUp)
-	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline)
+	ctx, cancel := clock.WithDeadline(context.Background(), a.Deadline)
 	defer cancel()
 	rec := l.record()
 	rec.Released = true
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/table"
 )
 
@@ -34,7 +35,7 @@
 }
 
 // Remaining returns how long the authority still lasts.
-func (a Authority) Remaining() time.Duration { return time.Until(a.Deadline) }
+func (a Authority) Remaining() time.Duration { return clock.Until(a.Deadline) }
 
 // Fence returns the fencing number.
 func (l *Lease) Fence() uint64 { return l.fence }
@@ -52,7 +53,7 @@
 func (l *Lease) Authority() (Authority, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.loss == "" && time.Until(l.deadline) <= 0 {
+	if l.loss == "" && clock.Until(l.deadline) <= 0 {
 		l.loseLocked(Expired)
 	}
 	if l.loss != "" {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
@@ -150,14 +151,14 @@
 func (x *Exchange) Before(n int) []Peer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.region.before(time.Now(), n)
+	return x.region.before(clock.Now(), n)
 }
 
 // Collects tells whether this VM is the collector of its zone.
 func (x *Exchange) Collects() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.region.collects(time.Now())
+	return x.region.collects(clock.Now())
 }
 
 // Leave makes all later datagrams say that this VM is about to stop.
@@ -198,7 +199,7 @@
 				round += n
 			}
 		}
-		x.noteRound(time.Now(), all, round)
+		x.noteRound(clock.Now(), all, round)
 		x.tellNews(conn)
 	}
 }
@@ -209,9 +210,9 @@
 	own := x.cfg.Own()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	list := x.region.messages(time.Now(), own)
+	list := x.region.messages(clock.Now(), own)
 	busy := slices.ContainsFunc(list, func(m message) bool { return !m.report.empty() })
-	if !q.tell(time.Now(), busy) {
+	if !q.tell(clock.Now(), busy) {
 		return nil
 	}
 	return list
@@ -240,7 +241,7 @@
 	switch {
 	case !x.region.collected():
 		return max(minInterval, time.Duration(x.lastRound)*time.Second/directDatagrams)
-	case x.region.collects(time.Now()):
+	case x.region.collects(clock.Now()):
 		return collectorInterval
 	}
 	return memberInterval
@@ -324,7 +325,7 @@
 func (x *Exchange) counts(load *sharepb.Load) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.region.counts(time.Now(), load)
+	return x.region.counts(clock.Now(), load)
 }
 
 // write sends one datagram to each of the peers.
@@ -352,7 +353,7 @@
 		return false
 	}
 	x.newest[load.Vm] = newest{boot: load.Boot, sequence: load.Sequence}
-	x.region.heard(time.Now(), load)
+	x.region.heard(clock.Now(), load)
 	return true
 }
 
--- a/loadshare/news.go
+++ b/loadshare/news.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
@@ -117,7 +118,7 @@
 func (x *Exchange) Tell(n News) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.news.add(time.Now(), n)
+	x.news.add(clock.Now(), n)
 }
 
 // tellNews sends one round of news.
@@ -126,7 +127,7 @@
 	loads := x.news.round()
 	var to []Peer
 	if len(loads) > 0 {
-		to = x.region.newsPeers(time.Now())
+		to = x.region.newsPeers(clock.Now())
 	}
 	for _, load := range loads {
 		x.address(load)
@@ -155,7 +156,7 @@
 	if n.empty() || x.cfg.News == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	x.mu.Lock()
 	if x.region.collects(now) {
 		x.news.add(now, n)
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -13,6 +13,7 @@
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/health"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/relay"
@@ -59,9 +60,7 @@
 
 // New returns a planner that knows nothing yet.
 func New(c Config) *Planner {
-	if c.Now == nil {
-		c.Now = time.Now
-	}
+	c.Now = clock.OrSystem(c.Now)
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
 )
 
@@ -53,7 +53,7 @@
 		return false
 	}
 	deadline, bounded := ctx.Deadline()
-	return !bounded || time.Until(deadline) > route.Objective
+	return !bounded || clock.Until(deadline) > route.Objective
 }
 
 // deliver passes an answer on that was read to its end.
@@ -123,7 +123,7 @@
 // begin sends the head of the answer to the caller.
 func (j *job) begin(answer Answer, length int64) *failure.Request {
 	j.result.Begun, j.result.Status = true, answer.Status()
-	j.result.First = time.Since(j.req.Received)
+	j.result.First = clock.Since(j.req.Received)
 	if err := j.reply.Begin(answer.Status(), answer.Header(), length); err != nil {
 		return callerGone(err)
 	}
@@ -149,7 +149,7 @@
 	if err := j.reply.Write(e.raw); err != nil {
 		return callerGone(err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	if j.result.Events++; j.result.Events > 1 {
 		j.result.Pause = max(j.result.Pause, now.Sub(j.heldAt))
 	}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
 )
 
@@ -22,7 +23,7 @@
 	j.result.Endpoint = plan.Prefill.ID
 	limited, dog := watchdog.New(ctx, j.prefillStall(plan))
 	defer dog.Stop()
-	read, began := *a, time.Now()
+	read, began := *a, clock.Now()
 	read.Endpoint, read.CopyFrom = plan.Prefill, plan.CopyFrom
 	handle, failed := j.relay.cfg.Upstream.Prefill(limited, &read)
 	failed = watchdog.Explain(limited, failed)
@@ -34,7 +35,7 @@
 		return notPrefilled(failed)
 	}
 	j.handle, j.prefilled = handle, true
-	klog.InfoS("relay: prompt read", "request", j.req.ID, "endpoint", plan.Prefill.ID, "tookMS", time.Since(began).Milliseconds(), "tokens", handle.Tokens)
+	klog.InfoS("relay: prompt read", "request", j.req.ID, "endpoint", plan.Prefill.ID, "tookMS", clock.Since(began).Milliseconds(), "tokens", handle.Tokens)
 	return nil
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/prompt"
 	"github.com/springweir/springweir/routes"
 )
@@ -63,7 +64,7 @@
 	if r.Deadline.IsZero() {
 		return context.WithCancel(ctx)
 	}
-	return context.WithDeadline(ctx, r.Deadline)
+	return clock.WithDeadline(ctx, r.Deadline)
 }
 
 // Attempt is one sending of a request to one endpoint.
--- /dev/null
+++ b/relay/suspension_test.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/springweir/springweir/internal/clock"
+)
+
+// A request whose caller's time passes while the VM is suspended ends as soon as the VM wakes,
+// and no endpoint is told of more time than the caller has.
+func TestDeadlineOfARequestAcrossASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		defer clock.Simulate(func() time.Duration { return suspended })()
+		watching, stop := context.WithCancel(t.Context())
+		defer stop()
+		go clock.Watch(watching)
+		synctest.Wait()
+		r := &Request{Received: clock.Now(), Deadline: clock.Now().Add(4 * time.Second)}
+		ctx, cancel := r.context(t.Context())
+		defer cancel()
+		suspended = 3 * time.Second
+		if got := r.Left(clock.Now()); got != time.Second {
+			t.Errorf("%v are left, want 1s", got)
+		}
+		suspended = 5 * time.Second
+		time.Sleep(200 * time.Millisecond)
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			t.Errorf("the request goes on after its time: %v", ctx.Err())
+		}
+	})
+}
--- a/retry/backoff.go
+++ b/retry/backoff.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 )
 
@@ -43,7 +44,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
+	if deadline, ok := ctx.Deadline(); ok && clock.Until(deadline) <= d {
 		return false
 	}
 	return loop.Sleep(ctx, d)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,6 +7,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // Limits are the settings of a budget.
@@ -36,9 +38,9 @@
 	last   time.Time
 }
 
-// NewBudget returns a budget that starts full. A nil now is time.Now.
+// NewBudget returns a budget that starts full. A nil now is the VM's clock.
 func NewBudget(l Limits, now func() time.Time) *Budget {
-	now = orSystemClock(now)
+	now = clock.OrSystem(now)
 	return &Budget{limits: l, now: now, tokens: l.Burst, last: now()}
 }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // WindowLimits bound the retries in any span of a fixed length.
@@ -25,6 +27,9 @@
 // safe for concurrent use; its lock is a leaf.
 type Window struct {
 	now func() time.Time
+	// start is when the window was made. Parts are counted from then on: the time of day may
+	// step, and back would keep what is long past, forward would forget what is not.
+	start time.Time
 
 	mu     sync.Mutex
 	limits WindowLimits
@@ -33,17 +38,10 @@
 	head           int64
 }
 
-// NewWindow returns a window that has seen nothing. A nil now is time.Now.
+// NewWindow returns a window that has seen nothing. A nil now is the VM's clock.
 func NewWindow(l WindowLimits, now func() time.Time) *Window {
-	return &Window{limits: l, now: orSystemClock(now)}
-}
-
-// orSystemClock returns now, or the VM's own clock for nil.
-func orSystemClock(now func() time.Time) func() time.Time {
-	if now == nil {
-		return time.Now
-	}
-	return now
+	now = clock.OrSystem(now)
+	return &Window{limits: l, now: now, start: now()}
 }
 
 // SetLimits changes the limits. What was seen stays, unless the span changes.
@@ -81,7 +79,7 @@
 
 // turn clears the parts that have passed out of the window.
 func (w *Window) turn() {
-	part := w.now().UnixNano() / int64(w.limits.Span/buckets)
+	part := int64(w.now().Sub(w.start) / (w.limits.Span / buckets))
 	if part-w.head > buckets {
 		w.first, w.retries = [buckets + 1]int{}, [buckets + 1]int{}
 		w.head = part
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// clock is a time that tests move.
-type clock struct{ t time.Time }
+// testClock is a time that tests move.
+type testClock struct{ t time.Time }
 
-func (c *clock) now() time.Time { return c.t }
+func (c *testClock) now() time.Time { return c.t }
 
 func TestWindowEarnsAndForgets(t *testing.T) {
-	c := &clock{time.Unix(1000, 0)}
+	c := &testClock{time.Unix(1000, 0)}
 	w := NewWindow(WindowLimits{Span: 10 * time.Second, Ratio: 0.2, Extra: 3}, c.now)
 	take := func() (n int) {
 		for w.Take() {
@@ -51,7 +51,7 @@
 	limits := WindowLimits{Span: span, Ratio: 0.2, Extra: 5}
 	for seed := range uint64(50) {
 		rng := rand.New(rand.NewPCG(seed, 0))
-		c := &clock{time.Unix(1000, 0)}
+		c := &testClock{time.Unix(1000, 0)}
 		w := NewWindow(limits, c.now)
 		var first, retries []time.Time
 		rate := 1 + rng.IntN(100)
--- a/rolechange/keeper.go
+++ b/rolechange/keeper.go
@@ -9,6 +9,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/routes"
@@ -78,9 +79,7 @@
 
 // New returns a keeper that contends for the lease as boot, a name drawn at this start.
 func New(cfg Config, boot, address string) *Keeper {
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
+	cfg.Now = clock.OrSystem(cfg.Now)
 	return &Keeper{
 		cfg:      cfg,
 		changing: map[string]change{},
--- a/rolechange/order.go
+++ b/rolechange/order.go
@@ -9,6 +9,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/lease"
 )
 
@@ -54,7 +55,7 @@
 
 // order reads an engine's state and sends it one order.
 func (k *Keeper) order(ctx context.Context, l *lease.Lease, e *directory.Endpoint, to engine.Role) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	state, err := k.cfg.Engines.State(ctx, e)
 	if err != nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/table"
 )
@@ -121,7 +122,7 @@
 func (r *Roster) due() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.written) > refreshPeriod
+	return clock.Since(r.written) > refreshPeriod
 }
 
 // register writes this VM's row. It is written without a condition: only the
@@ -132,7 +133,7 @@
 		klog.ErrorS(err, "roster: this VM cannot be written down")
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err = r.rows.Commit(ctx, table.Txn{Writes: []table.Write{{Key: key(r.self.Name), Value: value}}})
 	if err != nil {
@@ -141,7 +142,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.written = time.Now()
+	r.written = clock.Now()
 	return true
 }
 
@@ -204,7 +205,7 @@
 // see takes in a row, given how it was seen before. The caller holds mu.
 func (r *Roster) see(row table.Row, before sighting) {
 	if before.version != row.Version {
-		before = sighting{version: row.Version, since: time.Now()}
+		before = sighting{version: row.Version, since: clock.Now()}
 	}
 	r.sightings[row.Key.Row] = before
 	var vm VM
@@ -223,7 +224,7 @@
 	defer r.mu.Unlock()
 	var list []table.Check
 	for name, s := range r.sightings {
-		if name != r.self.Name && time.Since(s.since) > r.stale {
+		if name != r.self.Name && clock.Since(s.since) > r.stale {
 			list = append(list, table.Check{Key: key(name), Version: s.version})
 		}
 	}
@@ -233,7 +234,7 @@
 // remove drops a row that was left behind. One that is written again meanwhile stays: it
 // has another version then.
 func (r *Roster) remove(ctx context.Context, row table.Check) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := r.rows.Commit(ctx, table.Txn{Checks: []table.Check{row}, Writes: []table.Write{{Key: row.Key, Delete: true}}})
 	klog.InfoS("roster: removed a VM that is gone", "vm", row.Key.Row, "version", row.Version, "err", err)
--- a/table/follow.go
+++ b/table/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 )
 
@@ -49,7 +50,7 @@
 	if f.Wait == 0 {
 		f.Wait = DefaultFeedWait
 	}
-	f.since = time.Now()
+	f.since = clock.Now()
 	for ctx.Err() == nil {
 		rows, at, err := f.Feed.List(ctx, f.Table)
 		if err != nil {
@@ -100,7 +101,7 @@
 
 // answered notes an answer and tells whether it is the first after an outage.
 func (f *Follower) answered() (afterOutage bool) {
-	now := time.Now()
+	now := clock.Now()
 	afterOutage = f.lost
 	if f.lost && f.OnRegained != nil {
 		f.OnRegained(now.Sub(f.since))
