--- a/caller/generate.go
+++ b/caller/generate.go
@@ -13,6 +13,7 @@
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 func (h *Handler) chat(x *exchange) *failure.Request {
@@ -100,7 +101,7 @@
 	if failed := h.describe(x.work, x.model, req, prompt); failed != nil {
 		return failed
 	}
-	a := &answer{x: x, format: f, model: req.Model, created: time.Now().Unix()}
+	a := &answer{x: x, format: f, model: req.Model, created: clock.Now().Unix()}
 	if req.Stream {
 		return h.stream(a)
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -11,6 +11,7 @@
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // Handler serves callers. It is safe for concurrent use.
@@ -54,7 +55,7 @@
 // handle reads what all requests have in common and answers failures.
 func (h *Handler) handle(k kind, serve func(*exchange) *failure.Request) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		start := time.Now()
+		start := clock.Now()
 		work := &forward.Work{ID: rand.Text(), Hopped: r.Header.Get(wire.HeaderHop) != ""}
 		w.Header().Set(wire.HeaderRequest, work.ID)
 		if attempt := r.Header.Get(wire.HeaderAttempt); attempt != "" {
--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // kind tells requests apart in metrics.
@@ -55,7 +55,7 @@
 	}
 	metrics.GetOrCreateCounter("springweir_requests_whole_total" + x.labels()).Inc()
 	metrics.GetOrCreateHistogram("springweir_answer_seconds" + x.labels()).UpdateDuration(x.start)
-	if x.work.Deadline.IsZero() || time.Now().Before(x.work.Deadline) {
+	if x.work.Deadline.IsZero() || clock.Now().Before(x.work.Deadline) {
 		metrics.GetOrCreateCounter("springweir_requests_in_time_total" + x.labels()).Inc()
 	}
 }
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -9,6 +9,7 @@
 	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // streamer is the sink of a streamed answer: one server-sent event a piece.
@@ -124,7 +125,7 @@
 // write sends b at once, within the write timeout.
 func (s *streamer) write(b []byte) error {
 	// Writers without deadlines, such as those in tests, say so; that is fine.
-	_ = s.rc.SetWriteDeadline(time.Now().Add(s.timeout))
+	_ = s.rc.SetWriteDeadline(clock.Now().Add(s.timeout))
 	if _, err := s.a.x.w.Write(b); err != nil {
 		return err
 	}
--- a/contact/keeper.go
+++ b/contact/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/membership"
 	"github.com/springweir/springweir/table"
 )
@@ -115,8 +116,8 @@
 	var swept time.Time
 	for ctx.Err() == nil {
 		err := k.Step(ctx)
-		if err == nil && time.Since(swept) >= sweepInterval {
-			swept = time.Now()
+		if err == nil && clock.Since(swept) >= sweepInterval {
+			swept = clock.Now()
 			err = k.Sweep(ctx)
 		}
 		countStep(err)
@@ -126,7 +127,7 @@
 		select {
 		case <-ctx.Done():
 		case <-k.suspected:
-		case <-time.After(k.pause(time.Now())):
+		case <-time.After(k.pause(clock.Now())):
 		}
 	}
 }
@@ -170,7 +171,7 @@
 // VM that the roster shows as listed and the list lacks has been dropped since.
 // What settles comes before the probes, which wait for VMs that hang.
 func (k *Keeper) Step(ctx context.Context) error {
-	k.wrote, k.looked = false, time.Now()
+	k.wrote, k.looked = false, clock.Now()
 	checks, err := k.auth.Checks()
 	if err != nil {
 		return err
@@ -186,11 +187,11 @@
 	k.vms = time.Duration(len(old.VMs))
 	listed := k.list(ctx)
 	k.settle(ctx, old)
-	asked := time.Now()
+	asked := clock.Now()
 	k.probe(ctx, old)
 	k.noteSilent(old, asked)
 	next, changed := Decide(old, Observed{
-		Acks: k.acks, Silent: k.silent(time.Now()),
+		Acks: k.acks, Silent: k.silent(clock.Now()),
 		Settled: k.settled(old), Listed: listed,
 	})
 	if !changed {
--- a/contact/member.go
+++ b/contact/member.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // Ack tells what a process holds.
@@ -60,7 +62,7 @@
 // each roster adopted, before the member tells anyone that it holds it; it
 // must not call the member.
 func NewMember(zone, name string, follow func(Roster)) *Member {
-	now := time.Now()
+	now := clock.Now()
 	return &Member{name: name, zone: zone, base: now, seen: now, follow: follow}
 }
 
@@ -73,7 +75,7 @@
 // Allow returns nil when this VM may take a new request, and otherwise
 // *UnconfirmedError. It is called for each request.
 func (m *Member) Allow() error {
-	if int64(time.Since(m.base)) < m.until.Load() {
+	if int64(clock.Since(m.base)) < m.until.Load() {
 		return nil
 	}
 	return &UnconfirmedError{Standing: m.Standing()}
@@ -81,7 +83,7 @@
 
 // Standing tells whether this VM may serve, and if not, why.
 func (m *Member) Standing() Standing {
-	if int64(time.Since(m.base)) < m.until.Load() {
+	if int64(clock.Since(m.base)) < m.until.Load() {
 		return InForce
 	}
 	m.mu.Lock()
@@ -114,7 +116,7 @@
 	}
 	m.roster = r
 	m.follow(r)
-	m.update(time.Now())
+	m.update(clock.Now())
 }
 
 // Joined records that this process put itself on the roster, by a write that
@@ -166,7 +168,7 @@
 	if began.After(m.contact) {
 		m.contact = began
 	}
-	m.update(time.Now())
+	m.update(clock.Now())
 }
 
 // Depart ends the permission for good: this VM stops by plan.
@@ -194,7 +196,7 @@
 func (m *Member) tick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.update(time.Now())
+	m.update(clock.Now())
 }
 
 // update sets until from the state. The caller holds mu.
--- a/contact/probe.go
+++ b/contact/probe.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // probe asks the VMs in doubt, or all of them when their turn has come or one
@@ -15,8 +17,8 @@
 func (k *Keeper) probe(ctx context.Context, r Roster) {
 	ask := k.inDoubt(r)
 	turn := time.Duration(len(r.VMs)) * probeSpacing
-	if time.Since(k.probed) >= turn || k.oneSilent(r) {
-		k.probed = time.Now()
+	if clock.Since(k.probed) >= turn || k.oneSilent(r) {
+		k.probed = clock.Now()
 		ask = r.VMs
 	}
 	settled := k.settled(r)
--- a/contact/settle.go
+++ b/contact/settle.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // settle is a shunning that every other VM has acknowledged.
@@ -56,7 +58,7 @@
 		return
 	}
 	// Counted from after the last answer, on the monotonic clock.
-	k.settles[vm.Name] = settle{shunnedAt: vm.ShunnedAt, since: time.Now(), instances: instances}
+	k.settles[vm.Name] = settle{shunnedAt: vm.ShunnedAt, since: clock.Now(), instances: instances}
 }
 
 // endSettle looks whether those who acknowledged it still run. If one has
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/membership"
@@ -88,7 +89,7 @@
 
 // NewOn is New on a given network.
 func NewOn(n network.Network, p *settings.Process, entry string, platform Platform) (*Controller, error) {
-	c := &Controller{network: n, process: p, platform: platform, entry: entry, start: time.Now()}
+	c := &Controller{network: n, process: p, platform: platform, entry: entry, start: clock.Now()}
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
@@ -156,7 +157,7 @@
 }
 
 // now is the clock of planners.
-func (c *Controller) now() time.Duration { return time.Since(c.start) }
+func (c *Controller) now() time.Duration { return clock.Since(c.start) }
 
 // writeID returns a new id for a write to the table.
 func writeID() string { return rand.Text() }
--- a/controller/decisions.go
+++ b/controller/decisions.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	pb "github.com/springweir/springweir/operator/operatorpb"
 	"github.com/springweir/springweir/roles"
 )
@@ -43,7 +44,7 @@
 			return old.decision.Pool == pool && !old.decision.Taken
 		})
 	}
-	d.kept = append(d.kept, decided{at: time.Now(), decision: out})
+	d.kept = append(d.kept, decided{at: clock.Now(), decision: out})
 	if len(d.kept) > keptDecisions {
 		d.kept = slices.Clone(d.kept[len(d.kept)-keptDecisions:])
 	}
@@ -55,7 +56,7 @@
 	defer d.mu.Unlock()
 	var list []*pb.Decision
 	for _, k := range slices.Backward(d.kept) {
-		k.decision.AgeMs = time.Since(k.at).Milliseconds()
+		k.decision.AgeMs = clock.Since(k.at).Milliseconds()
 		list = append(list, &pb.Decision{
 			Pool: k.decision.Pool, Zone: k.decision.Zone, Action: k.decision.Action,
 			Taken: k.decision.Taken, Reason: k.decision.Reason, AgeMs: k.decision.AgeMs,
--- a/controller/loadbudget.go
+++ b/controller/loadbudget.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loads"
 	"github.com/springweir/springweir/settings"
 )
@@ -14,7 +15,7 @@
 // readLimits takes the store's limits now and then, cut to the tree's. The tree
 // may name less than the store allows, to leave room for others.
 func (l *loadPlanner) readLimits(ctx context.Context, tree *settings.Tree) error {
-	if l.budget != nil && time.Since(l.limitsAt) < limitsEvery {
+	if l.budget != nil && clock.Since(l.limitsAt) < limitsEvery {
 		return nil
 	}
 	limits, err := l.p.c.platform.Weights.Limits(ctx)
@@ -28,7 +29,7 @@
 		scope := l.p.c.process.Zone + "/" + l.p.pool
 		l.budget = loads.NewBudget(l.p.c.platform.Rows, limits, l.p.c.self.Process, scope, loads.DefaultExpiry)
 	}
-	l.limits, l.limitsAt = limits, time.Now()
+	l.limits, l.limitsAt = limits, clock.Now()
 	return nil
 }
 
@@ -53,10 +54,10 @@
 			delete(l.running, number)
 		}
 	}
-	if time.Since(l.renewed) < loads.RenewEvery {
+	if clock.Since(l.renewed) < loads.RenewEvery {
 		return
 	}
-	l.renewed = time.Now()
+	l.renewed = clock.Now()
 	for _, s := range own {
 		if err := l.budget.Renew(ctx, s); err != nil {
 			countLoad("renew-failed")
--- a/controller/loads.go
+++ b/controller/loads.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loads"
 	"github.com/springweir/springweir/order"
 	"github.com/springweir/springweir/settings"
@@ -43,7 +44,7 @@
 // round plans once. Without the store's limits or the budget nothing is begun.
 func (l *loadPlanner) round(ctx context.Context, tree *settings.Tree, pool settings.Pool, seen *picture, asked map[weightstore.Artifact]float64) {
 	wants := l.wants(ctx, tree, pool, seen, asked)
-	if len(wants) == 0 && len(l.running) == 0 && l.budget != nil && time.Since(l.renewed) < loads.RenewEvery {
+	if len(wants) == 0 && len(l.running) == 0 && l.budget != nil && clock.Since(l.renewed) < loads.RenewEvery {
 		return
 	}
 	if err := l.readLimits(ctx, tree); err != nil {
@@ -165,7 +166,7 @@
 			weight = max(weight, h.Want.Weight)
 		}
 	}
-	fresh := time.Since(l.wishedAt) < loads.RenewEvery
+	fresh := clock.Since(l.wishedAt) < loads.RenewEvery
 	if weight == l.wished && (fresh || weight == 0) {
 		return
 	}
@@ -173,7 +174,7 @@
 		countLoad("wish-failed")
 		return
 	}
-	l.wished, l.wishedAt = weight, time.Now()
+	l.wished, l.wishedAt = weight, clock.Now()
 }
 
 func countLoad(reason string) {
--- a/controller/picture.go
+++ b/controller/picture.go
@@ -9,6 +9,7 @@
 
 	"github.com/springweir/springweir/contact"
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/peer"
 	"github.com/springweir/springweir/peer/viewpb"
 	"github.com/springweir/springweir/roles"
@@ -95,7 +96,7 @@
 	artifacts := map[weightstore.Artifact]float64{}
 	var g errgroup.Group
 	g.SetLimit(viewAskers)
-	began := time.Now()
+	began := clock.Now()
 	for _, vm := range roster.VMs {
 		g.Go(func() error {
 			resp, err := peer.ViewAt(vm.Address, c.transport).Demand(ctx, &viewpb.DemandRequest{Pool: pool})
@@ -112,7 +113,7 @@
 		})
 	}
 	_ = g.Wait() // the askers return no error
-	return demand{roles: roles.Merge(parts, time.Since(began), len(roster.VMs)), artifacts: artifacts}
+	return demand{roles: roles.Merge(parts, clock.Since(began), len(roster.VMs)), artifacts: artifacts}
 }
 
 func demandFrom(resp *viewpb.DemandResponse) roles.Demand {
--- a/controller/pool.go
+++ b/controller/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/springweir/springweir/contact"
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/order"
@@ -134,10 +135,10 @@
 // the last one.
 func (p *poolPlanner) askDemand(ctx context.Context, roster contact.Roster) bool {
 	// Rounds come a little early or late, so half of one is taken off.
-	if time.Since(p.asked) < demandEvery(len(roster.VMs))-planInterval/2 {
+	if clock.Since(p.asked) < demandEvery(len(roster.VMs))-planInterval/2 {
 		return false
 	}
-	p.asked = time.Now()
+	p.asked = clock.Now()
 	p.demand = p.c.demand(ctx, roster, p.pool)
 	return true
 }
--- a/controller/trees.go
+++ b/controller/trees.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/contact"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/peer"
 	"github.com/springweir/springweir/rollout"
@@ -57,14 +58,14 @@
 
 // Run follows the tree until ctx ends.
 func (t *trees) Run(ctx context.Context) {
-	heard := time.Now()
+	heard := clock.Now()
 	for ctx.Err() == nil {
 		err := t.fromEntry(ctx)
 		if err == nil {
-			heard = time.Now()
+			heard = clock.Now()
 		}
-		if time.Since(heard) >= tableAfter {
-			heard = time.Now()
+		if clock.Since(heard) >= tableAfter {
+			heard = clock.Now()
 			err = t.fromTable(ctx)
 		}
 		if err != nil {
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -7,6 +7,7 @@
 
 	"github.com/springweir/springweir/fleet"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/prefix"
 	"github.com/springweir/springweir/roles"
 	"github.com/springweir/springweir/weightstore"
@@ -69,7 +70,7 @@
 		Priority: w.Priority,
 	}
 	if !w.Deadline.IsZero() {
-		sample.Deadline = time.Until(w.Deadline)
+		sample.Deadline = clock.Until(w.Deadline)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/fleet"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/leaving"
 	"github.com/springweir/springweir/routing"
 	"github.com/springweir/springweir/weightstore"
@@ -51,7 +52,7 @@
 }
 
 // now is the clock of snapshots and health.
-func (d *common) now() time.Duration { return time.Since(d.start) }
+func (d *common) now() time.Duration { return clock.Since(d.start) }
 
 // Route implements forward.Router.
 func (d *dispatcher) Route(_ context.Context, w *forward.Work, a forward.Attempt) (forward.Plan, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/springweir/springweir/claim"
 	"github.com/springweir/springweir/contact"
 	"github.com/springweir/springweir/fleet"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/leaving"
 	"github.com/springweir/springweir/membership"
@@ -130,7 +131,7 @@
 // wireRequests puts together the path of a request.
 func (e *Entry) wireRequests() {
 	e.common = &common{
-		start:   time.Now(),
+		start:   clock.Now(),
 		cat:     e.cat,
 		store:   fleet.NewStore(e.process.Zone, fleet.NewMatchedLedger(reservationExpiry), prefix.NewViews(prefixLimit)),
 		gate:    e.gate,
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -9,6 +9,7 @@
 
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/fleet"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/leaving"
 	"github.com/springweir/springweir/peer/share"
@@ -95,7 +96,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unlike[e.Name] && time.Since(r.own[e.Name].at) >= askAgain {
+	if r.unlike[e.Name] && clock.Since(r.own[e.Name].at) >= askAgain {
 		return fleet.StateOnly
 	}
 	return fleet.Nothing
@@ -105,7 +106,7 @@
 func (r *reports) heard(report fleet.Report) {
 	name, state := report.Endpoint, report.State
 	r.mu.Lock()
-	r.own[name] = ownReport{state: state, at: time.Now()}
+	r.own[name] = ownReport{state: state, at: clock.Now()}
 	r.mu.Unlock()
 	r.upstreams.track(name, state.Incarnation, state.Role)
 	if r.d.leave.Note(name, state.Incarnation, state.Leaving) {
@@ -117,7 +118,7 @@
 // share passes reports on between this entry and its peers until ctx ends.
 func (r *reports) share(ctx context.Context) {
 	loop.Every(ctx, shareTick, func() {
-		if r.publishes(time.Now()) {
+		if r.publishes(clock.Now()) {
 			r.publish()
 		}
 		r.takeShared()
@@ -139,7 +140,7 @@
 
 // publish gives the peers what this entry itself has read lately.
 func (r *reports) publish() {
-	now := time.Now()
+	now := clock.Now()
 	r.mu.Lock()
 	list := make([]share.Report, 0, len(r.own))
 	for name, own := range r.own {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
 )
 
@@ -140,7 +141,7 @@
 		return nil
 	}
 	if a.tokens == 0 && a.observer != nil {
-		a.observer.FirstToken(time.Since(a.start))
+		a.observer.FirstToken(clock.Since(a.start))
 	}
 	delta := Delta{Position: frame.Position, Tokens: frame.Tokens, Text: frame.Text, Version: a.version}
 	if err := a.g.sink.Emit(delta); err != nil {
@@ -157,7 +158,7 @@
 	return Result{
 		Err:          failed,
 		Abandoned:    failed != nil && (ctx.Err() != nil || failed.Code == failure.CallerGone),
-		Elapsed:      time.Since(a.start),
+		Elapsed:      clock.Since(a.start),
 		Tokens:       a.tokens,
 		CachedTokens: a.cached,
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/springweir/springweir/claim"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/service"
 )
 
@@ -210,13 +211,13 @@
 
 // observed makes one attempt and tells the plan's observer how it went.
 func (f *Forwarder) observed(ctx context.Context, w *Work, plan Plan, id string) (*Reply, *failure.Request) {
-	start := time.Now()
+	start := clock.Now()
 	reply, failed := f.once(ctx, w, plan.Serve, id)
 	if plan.Observer != nil {
 		plan.Observer.Finished(Result{
 			Err:       failed,
 			Abandoned: failed != nil && ctx.Err() != nil,
-			Elapsed:   time.Since(start),
+			Elapsed:   clock.Since(start),
 			Leaving:   saysItLeaves(reply, failed),
 		})
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"context"
 	"strings"
-	"time"
 
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // Generate carries out one generation and gives its pieces to sink. The error
@@ -87,7 +87,7 @@
 
 // serve makes one attempt and tells the plan's observer how it went.
 func (g *generation) serve(ctx context.Context, plan Plan, id string) *failure.Request {
-	a := &attempt{g: g, id: id, target: plan.Serve, observer: plan.Observer, start: time.Now()}
+	a := &attempt{g: g, id: id, target: plan.Serve, observer: plan.Observer, start: clock.Now()}
 	a.version = cmp.Or(g.version, plan.Version)
 	kv := g.prefill(ctx, plan, a)
 	failed := a.run(ctx, kv)
@@ -125,7 +125,7 @@
 		req.Emitted = g.emitted.String()
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		req.DeadlineMillis = max(time.Until(deadline).Milliseconds(), 1)
+		req.DeadlineMillis = max(clock.Until(deadline).Milliseconds(), 1)
 	}
 	return req
 }
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -10,6 +10,7 @@
 
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // KV hand-over: one engine prefills the prompt and exports its KV cache,
@@ -27,12 +28,12 @@
 		notMade(plan.PrefillObserver, nil)
 		return nil
 	}
-	start := time.Now()
+	start := clock.Now()
 	within, cancel := context.WithTimeout(ctx, g.prefillTime(ctx))
 	defer cancel()
 	kv, failed := g.export(within, plan.Prefill, a.id+"p", a.version)
 	if plan.PrefillObserver != nil {
-		plan.PrefillObserver.Finished(Result{Err: failed, Abandoned: ctx.Err() != nil, Elapsed: time.Since(start)})
+		plan.PrefillObserver.Finished(Result{Err: failed, Abandoned: ctx.Err() != nil, Elapsed: clock.Since(start)})
 	}
 	// A prefill is a part of the request, so one that may have run counts.
 	if failed == nil || failed.Ran != failure.NotRun {
@@ -51,7 +52,7 @@
 func (g *generation) prefillTime(ctx context.Context) time.Duration {
 	limit := g.f.cfg.PrefillTimeout
 	if deadline, ok := ctx.Deadline(); ok {
-		return min(limit, time.Until(deadline)/2)
+		return min(limit, clock.Until(deadline)/2)
 	}
 	return limit
 }
--- a/forward/peer.go
+++ b/forward/peer.go
@@ -14,6 +14,7 @@
 	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/httponce"
 	"github.com/springweir/springweir/service"
 )
@@ -128,7 +129,7 @@
 		header.Set(wire.HeaderIdempotencyKey, w.IdempotencyKey)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		left := max(time.Until(deadline).Milliseconds(), 1)
+		left := max(clock.Until(deadline).Milliseconds(), 1)
 		header.Set(wire.HeaderDeadline, strconv.FormatInt(left, 10))
 	}
 }
--- a/leaving/watch.go
+++ b/leaving/watch.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/membership"
 )
@@ -17,9 +18,9 @@
 // WatchList reads the membership list into the set until ctx ends.
 func (s *Set) WatchList(ctx context.Context, list membership.List) {
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := clock.Now()
 		s.readList(ctx, list)
-		loop.Sleep(ctx, ListPoll-time.Since(began))
+		loop.Sleep(ctx, ListPoll-clock.Since(began))
 	}
 }
 
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 )
 
@@ -101,7 +102,7 @@
 func (w *Watcher) Poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, w.config.Timeout)
 	defer cancel()
-	readAt := time.Now()
+	readAt := clock.Now()
 	vms, err := w.list.VMs(ctx)
 	if err != nil {
 		return err
--- a/order/account.go
+++ b/order/account.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/peer/controllerpb"
 )
@@ -89,9 +90,9 @@
 	var goneSince time.Time
 	for tries := 0; ; tries++ {
 		if s.cfg.Departures.Gone(c.VM) && goneSince.IsZero() {
-			goneSince = time.Now()
+			goneSince = clock.Now()
 		}
-		if !goneSince.IsZero() && time.Since(goneSince) >= s.timing.Window {
+		if !goneSince.IsZero() && clock.Since(goneSince) >= s.timing.Window {
 			return nil
 		}
 		if s.askDropped(ctx, entry, c) {
--- a/order/confirm.go
+++ b/order/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/peer/controllerpb"
 )
@@ -39,7 +40,7 @@
 // for a predecessor at the same address rests on it (see proves).
 func NewResponder(gate *Gate, self lease.Identity, timing Timing) *Responder {
 	t := timing.withDefaults()
-	return &Responder{gate: gate, self: self, since: time.Now(), window: t.Window + t.Settle}
+	return &Responder{gate: gate, self: self, since: clock.Now(), window: t.Window + t.Settle}
 }
 
 // ConfirmDropped implements controllerpb.Controller.
@@ -65,5 +66,5 @@
 	if req.GetVm() != r.self.VM || req.GetAddress() != r.self.Address {
 		return false
 	}
-	return time.Since(r.since) >= r.window
+	return clock.Since(r.since) >= r.window
 }
--- a/order/deliver.go
+++ b/order/deliver.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/lease"
 )
 
@@ -50,7 +51,7 @@
 	if a.Remaining() < s.timing.Margin+s.timing.Window {
 		return time.Time{}, &RefusedError{Engine: s.lease.Pool(), Code: ReasonLeaseShort}
 	}
-	return time.Now().Add(s.timing.Window), nil
+	return clock.Now().Add(s.timing.Window), nil
 }
 
 // arrivesUntil returns until when a copy may still arrive, given how its send
@@ -65,7 +66,7 @@
 	case answered(err):
 		return time.Time{}
 	}
-	now := time.Now()
+	now := clock.Now()
 	if now.After(deadline) {
 		deadline = now
 	}
--- a/order/gate.go
+++ b/order/gate.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/lease"
 )
 
@@ -123,7 +124,7 @@
 	defer g.mu.Unlock()
 	quiet := true
 	for f := range g.flights {
-		if !f.until.IsZero() && time.Until(f.until) <= 0 {
+		if !f.until.IsZero() && clock.Until(f.until) <= 0 {
 			delete(g.flights, f)
 			continue
 		}
--- a/peer/share/book.go
+++ b/peer/share/book.go
@@ -11,6 +11,7 @@
 
 	"github.com/springweir/springweir/contact"
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/peer/entrypb"
 	"github.com/springweir/springweir/weightstore"
 )
@@ -100,7 +101,7 @@
 		batch.Number = old.batch.Number
 	}
 	batch.Number++
-	now := time.Now()
+	now := clock.Now()
 	b.pages[b.self] = page{batch: batch, held: now}
 	for name, p := range b.pages {
 		if p.age(now) > dropAge {
@@ -135,7 +136,7 @@
 func (b *Book) Newer(r contact.Roster, seen []byte) []*entrypb.Batch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	var newer []*entrypb.Batch
 	for i, vm := range r.VMs {
 		p, ok := b.pages[vm.Name]
@@ -160,7 +161,7 @@
 func (b *Book) Merge(r contact.Roster, batches []*entrypb.Batch) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, batch := range batches {
 		if int(batch.Poller) >= len(r.VMs) || !aligned(batch) {
 			continue
@@ -178,7 +179,7 @@
 func (b *Book) Reports() map[uint32]Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	reports := map[uint32]Report{}
 	for _, p := range b.pages {
 		age := p.age(now)
--- a/poison/runs_test.go
+++ b/poison/runs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +150,11 @@
 		}
 	}
 }
+
+// A key of a request of 30 KB takes 0.03 ms.
+func BenchmarkKeyOf(b *testing.B) {
+	r := request("caller", "id", strings.Repeat("x", 30<<10))
+	for b.Loop() {
+		KeyOf(r)
+	}
+}
--- a/rollout/confirmer.go
+++ b/rollout/confirmer.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/contact"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/table"
 )
@@ -228,10 +229,10 @@
 // report writes which VMs keep a version from being confirmed, now and then.
 func (c *Confirmer) report(ctx context.Context, checks []table.Check, old, now ack, cause error) error {
 	same := old.Pending == now.Pending && slices.Equal(old.Missing, now.Missing)
-	if same || time.Since(c.reported) < reportInterval {
+	if same || clock.Since(c.reported) < reportInterval {
 		return cause
 	}
-	c.reported = time.Now()
+	c.reported = clock.Now()
 	if err := c.write(ctx, checks, now); err != nil {
 		return err
 	}
--- a/rollout/syncer.go
+++ b/rollout/syncer.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/contact"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/table"
 )
@@ -53,7 +54,7 @@
 func (s *Syncer) RunTable(ctx context.Context) {
 	var next time.Time
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		due := next
 		if s.wantsTable(now) && next.Sub(now) > tableRetry {
 			due = now
@@ -62,7 +63,7 @@
 			if err := s.SyncTable(ctx); err != nil {
 				klog.V(1).Infof("rollout: no contact with the table: %v", err)
 			}
-			next = time.Now().Add(s.pollAfter())
+			next = clock.Now().Add(s.pollAfter())
 		}
 		loop.Sleep(ctx, syncCheck)
 	}
@@ -77,7 +78,7 @@
 // times the mean.
 func (s *Syncer) pollAfter() time.Duration {
 	mean := tablePoll
-	if s.wantsTable(time.Now()) {
+	if s.wantsTable(clock.Now()) {
 		mean = tableRetry
 	}
 	return loop.Jitter(mean)
@@ -92,7 +93,7 @@
 }
 
 func (s *Syncer) syncTable(ctx context.Context) error {
-	began := time.Now()
+	began := clock.Now()
 	keys := []table.Key{HeadKey(), contact.Key(s.member.Zone()), AckKey(s.member.Zone())}
 	rows, err := s.rows.Get(ctx, keys...)
 	if err != nil {
@@ -134,7 +135,7 @@
 // version: it is the whole zone. So a zone that comes into being never makes
 // an accepted version pending again.
 func (s *Syncer) join(ctx context.Context, h head, roster contact.Roster, rows []table.Row) error {
-	began := time.Now()
+	began := clock.Now()
 	next := roster.Join(s.member.Zone(), s.member.Name(), s.address)
 	next.WriteID = s.writeID()
 	txn := table.Txn{Writes: []table.Write{{Key: rows[1].Key, Value: next.Encode()}}}
@@ -167,7 +168,7 @@
 }
 
 func (s *Syncer) syncPeer(ctx context.Context, vm contact.VM) error {
-	began := time.Now()
+	began := clock.Now()
 	got, err := s.peers.Exchange(ctx, vm)
 	if err != nil {
 		return eris.Wrapf(err, "exchange with %s", vm.Address)
