Show what a plan was made on and what holds when it is carried out

Cause: the lines could not tell a plan that had grown old while its prompt was read from news of a leaving that came too late.

Change: just before an attempt's first byte, once its connection is open, the relay compares the endpoint with what is known of it now, and writes a line and a counter by cause when they differ; nothing is done about it yet. The age of a change is passed on with it between VMs, and a histogram holds how long endpoints had been leaving at the most when a VM knew of it. internal/h1 gets the place for it: Ready, called between connection and first byte, which may take the request back.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // Registration is what an endpoint's row in the store says.
@@ -52,6 +53,8 @@
 // Endpoint is one endpoint as last registered. It is immutable.
 type Endpoint struct {
 	Registration
+	// Since is when this VM came to know of the registration.
+	Since time.Time
 	// Lapsed is set while the row is missing but may come back: the store has
 	// just returned from an outage.
 	Lapsed bool
@@ -126,10 +129,16 @@
 // newer returns the endpoint of a registration, or the known one if that is of a later
 // start. The caller holds mu.
 func (d *Directory) newer(r Registration) *Endpoint {
-	if known := d.byID[r.ID]; known != nil && known.Born > r.Born {
+	now := clock.Now()
+	known := d.byID[r.ID]
+	switch {
+	case known == nil:
+	case known.Born > r.Born:
 		return known
+	case known.Version == r.Version:
+		now = known.Since
 	}
-	return &Endpoint{Registration: r}
+	return &Endpoint{Registration: r, Since: now}
 }
 
 // Remove drops endpoints whose rows are gone.
--- a/feedshare/client.go
+++ b/feedshare/client.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/springweir/springweir/feedshare/feedpb"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/table"
 )
@@ -82,9 +83,13 @@
 	if err != nil {
 		return nil, 0, fromTwirp(address, name, after, err)
 	}
+	now := clock.Now()
 	changes := make([]table.Change, len(answer.Changes))
 	for i, change := range answer.Changes {
 		changes[i] = table.Change{Row: fromPB(name, change.Row), Deleted: change.Deleted}
+		if change.AgeMs > 0 {
+			changes[i].NotBefore = now.Add(-time.Duration(change.AgeMs) * time.Millisecond)
+		}
 	}
 	return changes, table.Version(answer.Version), nil
 }
--- a/feedshare/client_test.go
+++ b/feedshare/client_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// How old a change may be is passed on with it, and the time that it lay at a VM counts.
+func TestAgeOfAChangeOverTheWire(t *testing.T) {
+	source, address := serving(t)
+	source.cache.reset(nil, 40, time.Now())
+	told := table.Change{Row: table.Row{Key: key("a"), Version: 43}, NotBefore: time.Now().Add(-300 * time.Millisecond)}
+	source.cache.apply(40, []table.Change{told}, 43, time.Now())
+	time.Sleep(50 * time.Millisecond)
+	got, _, err := NewClient(network.TCP()).Changes(t.Context(), address, "t", 40, time.Second)
+	if err != nil || len(got) != 1 {
+		t.Fatal(got, err)
+	}
+	if age := time.Since(got[0].NotBefore); age < 350*time.Millisecond || age > 2*time.Second {
+		t.Errorf("the change is told to be %v old at the most", age)
+	}
+}
+
 // A VM that takes a connection and says nothing costs no more than the wait.
 func TestSilentVMIsGivenUp(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -91,6 +91,9 @@
 	away      error
 	// gatherUntil is until when changes are left to gather at the store.
 	gatherUntil time.Time
+	// current is when the last question was asked that the store answered: no change told
+	// since is older.
+	current time.Time
 	// from is where the last answer came from, for the log.
 	from string
 }
--- a/feedshare/server.go
+++ b/feedshare/server.go
@@ -59,11 +59,20 @@
 	}
 	answer := &feedpb.ChangesResponse{Version: uint64(at)}
 	for _, c := range changes {
-		answer.Changes = append(answer.Changes, &feedpb.Change{Row: toPB(c.Row), Deleted: c.Deleted})
+		answer.Changes = append(answer.Changes, &feedpb.Change{Row: toPB(c.Row), Deleted: c.Deleted, AgeMs: age(c)})
 	}
 	return answer, nil
 }
 
+// age is how long ago a change was made at the most, in whole milliseconds begun, or zero if
+// that is not known.
+func age(c table.Change) uint32 {
+	if c.NotBefore.IsZero() {
+		return 0
+	}
+	return uint32(max(0, clock.Since(c.NotBefore).Milliseconds())) + 1
+}
+
 func toPB(row table.Row) *feedpb.Row {
 	return &feedpb.Row{Key: row.Key.Row, Version: uint64(row.Version), Value: row.Value}
 }
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -43,11 +43,13 @@
 	if err := s.resting(); err != nil {
 		return nil, 0, err
 	}
+	asked := clock.Now()
 	rows, at, err := s.store.List(ctx, name)
 	if err != nil {
 		s.lost(err)
 		return nil, 0, err
 	}
+	s.current = asked
 	s.answered(fromStore, at)
 	s.cache.reset(rows, at, clock.Now())
 	return rows, at, nil
@@ -95,14 +97,33 @@
 		s.lost(err)
 		return nil, 0, err
 	}
+	came := clock.Now()
 	if len(changes) > 0 {
-		s.gatherUntil = clock.Now().Add(s.settings.Gather)
+		s.gatherUntil = came.Add(s.settings.Gather)
+		s.date(changes, asked, came)
 	}
+	s.current = asked
 	s.answered(fromStore, next)
-	s.cache.apply(after, changes, next, earlier(clock.Now(), asked.Add(wait+storeSlack)))
+	s.cache.apply(after, changes, next, earlier(came, asked.Add(wait+storeSlack)))
 	return changes, next, nil
 }
 
+// promptly is how long the store takes at the most, when it is well, over a question for
+// changes that it has already. An answer that takes longer waited for the change.
+const promptly = 100 * time.Millisecond
+
+// date says when changes that the store told can have been made: after the answer before,
+// or, if the question waited for them, just now. What a slow store adds is not in it.
+func (s *Source) date(changes []table.Change, asked, came time.Time) {
+	notBefore := s.current
+	if came.Sub(asked) > promptly {
+		notBefore = came.Add(-promptly)
+	}
+	for i := range changes {
+		changes[i].NotBefore = notBefore
+	}
+}
+
 // earlier returns when an answer of the store can still have been true: when it came, or,
 // if it was held up by a pause of this VM, when it was due.
 func earlier(came, due time.Time) time.Time {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/table"
 )
 
@@ -114,6 +115,7 @@
 		if !c.Deleted {
 			r, known = g.decodeEndpoint(c.Row)
 		}
+		g.noteLeaving(c, r.Draining)
 		if known {
 			logEndpoint(r)
 			puts = append(puts, r)
@@ -134,6 +136,18 @@
 	g.lapse(lapsed)
 }
 
+// noteLeaving takes the time between a leaving and its being known here. Only the first sign of
+// it counts: an endpoint that has said that it leaves is gone later.
+func (g *Gateway) noteLeaving(c table.Change, draining bool) {
+	before := g.directory.Snapshot().Endpoint(c.Row.Key.Row)
+	if before == nil || !before.Usable() || !draining && !c.Deleted || c.NotBefore.IsZero() {
+		return
+	}
+	age := clock.Since(c.NotBefore)
+	leavingKnown.Update(age.Seconds())
+	klog.InfoS("gateway: endpoint leaves", "endpoint", c.Row.Key.Row, "version", c.Row.Version, "deleted", c.Deleted, "ageAtMostMS", age.Milliseconds())
+}
+
 func (g *Gateway) putEndpoints(list []directory.Registration) {
 	if len(list) > 0 {
 		g.directory.Put(list...)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,9 @@
 // malformedEndpoints counts rows of endpoints that could not be understood.
 var malformedEndpoints = metrics.NewCounter("springweir_endpoint_rows_malformed_total")
 
+// leavingKnown is how long, at the most, endpoints had been leaving when this VM knew of it.
+var leavingKnown = metrics.GetOrCreateHistogram("springweir_leaving_known_seconds")
+
 // observe counts a request that was relayed and takes its times.
 func observe(req *relay.Request, result relay.Result) {
 	kind := kindNames[req.Route.Kind]
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -203,6 +203,23 @@
 	return ticket, true
 }
 
+// Holds tells whether the endpoint of a ticket may still be sent to: it has neither started
+// again nor been ejected since, and a trial still is the ticket's own.
+func (t *Tracker) Holds(now time.Duration, ticket Ticket) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[ticket.endpoint]
+	switch {
+	case m == nil:
+		return ticket.incarnation == ""
+	case m.incarnation != ticket.incarnation:
+		return false
+	case m.status.Phase == Trial:
+		return m.trial == ticket.trial
+	}
+	return m.status.Usable(now)
+}
+
 // Alive is called when a token or answer comes from an endpoint: it is slow
 // perhaps, but not frozen.
 func (t *Tracker) Alive(ticket Ticket) {
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -28,6 +28,10 @@
 	// MaxIdle bounds how long the connection may have been unused; zero takes
 	// the pool's own bound; see NewConnection.
 	MaxIdle time.Duration
+	// Ready, if set, is called once there is a connection, just before the first byte is
+	// written: opening one may have taken long. It may still change the request. With an
+	// error nothing is written, the connection is kept, and Do returns *Error with that cause.
+	Ready func(*Request) error
 	// Accept tells whether an answer's head belongs to this request. One that
 	// does not is read past, once or twice; nil accepts any.
 	Accept func(status int, h http.Header) bool
@@ -55,6 +59,10 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
+	if err := r.ready(); err != nil {
+		p.giveBack(c)
+		return nil, &Error{Reused: reused, Cause: err}
+	}
 	ex := &exchange{pool: p, conn: c}
 	ex.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(longAgo) })
 	if err := ex.write(r); err != nil {
@@ -73,6 +81,13 @@
 	return a, nil
 }
 
+func (r *Request) ready() error {
+	if r.Ready == nil {
+		return nil
+	}
+	return r.Ready(r)
+}
+
 // silent tells whether an exchange ended because nothing came for too long, and not
 // because its sender lost interest.
 func silent(ctx context.Context, err error) bool {
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -177,6 +177,19 @@
 // put keeps a connection for the next exchange.
 func (p *Pool) put(c *conn) {
 	c.idleSince = clock.Now()
+	p.addIdle(c)
+}
+
+// giveBack keeps a connection that was taken and not used. To the server, one that was used
+// before has been idle all the while.
+func (p *Pool) giveBack(c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = clock.Now()
+	}
+	p.addIdle(c)
+}
+
+func (p *Pool) addIdle(c *conn) {
 	p.mu.Lock()
 	var old *conn
 	switch {
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -471,3 +471,28 @@
 		})
 	}
 }
+
+// Just before its first byte a request may be taken back, on a kept connection as on a new
+// one: nothing is written, and the connection serves the next request.
+func TestRequestIsTakenBackBeforeItsFirstByte(t *testing.T) {
+	s := serve(t, echo)
+	p := newPool(t, s, Options{})
+	changed := errors.New("the plan has changed")
+	for _, state := range []string{"new", "kept"} {
+		r := post(state)
+		r.Ready = func(*Request) error { return changed }
+		_, err := p.Do(t.Context(), r)
+		var failed *Error
+		if !errors.As(err, &failed) || failed.Sent || !errors.Is(err, changed) {
+			t.Errorf("on a %s connection: %v", state, err)
+		}
+		r = post(state)
+		r.Ready = func(r *Request) error { r.Body = []byte("changed"); return nil }
+		if got, err := ask(t, p, r); err != nil || got != "changed" {
+			t.Errorf("after it: %q, %v", got, err)
+		}
+	}
+	if n := s.connections(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -1,12 +1,15 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/health"
+	"github.com/springweir/springweir/relay"
 )
 
 // hold is the work reserved at one endpoint for one attempt.
@@ -45,6 +48,44 @@
 	expect time.Duration
 }
 
+// Recheck implements relay.Watch.
+func (w *watch) Recheck(e *directory.Endpoint) relay.Recheck {
+	h := w.serve
+	if w.prefill != nil && w.prefill.book.id == e.ID {
+		h = w.prefill
+	}
+	return w.p.recheck(e, h)
+}
+
+// recheck compares an endpoint as it was planned for with what is known of it now.
+func (p *Planner) recheck(planned *directory.Endpoint, h *hold) relay.Recheck {
+	now := p.directory.Snapshot().Endpoint(planned.ID)
+	found := relay.Recheck{Now: now}
+	switch {
+	case now == nil:
+		found.Cause = relay.EndpointGone
+	case now.Incarnation() != planned.Incarnation():
+		found.Cause = relay.EndpointRestarted
+	case !now.Usable():
+		found.Cause = relay.EndpointLeaves
+	case now.Role != planned.Role || p.changesRole(h):
+		found.Cause = relay.EndpointChangesRole
+	case !p.health.Holds(p.now().Sub(p.start), h.ticket):
+		found.Cause = relay.EndpointEjected
+	}
+	return found
+}
+
+// changesRole tells whether an engine is about to change its role.
+func (p *Planner) changesRole(h *hold) bool {
+	if slices.Contains(p.ordered(), h.book.id) {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.books.isChanging(p.now(), h.book)
+}
+
 // Prefilled implements relay.Watch.
 func (w *watch) Prefilled(failed *failure.Request, abandoned bool) {
 	if w.prefill == nil {
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -25,6 +25,7 @@
 	defer dog.Stop()
 	read, began := *a, clock.Now()
 	read.Endpoint, read.CopyFrom = plan.Prefill, plan.CopyFrom
+	read.Ready = func() { j.recheck(plan, plan.Prefill) }
 	handle, failed := j.relay.cfg.Upstream.Prefill(limited, &read)
 	failed = watchdog.Explain(limited, failed)
 	plan.Watch.Prefilled(failed, gaveUp(ctx, failed))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -174,6 +174,7 @@
 // attempt makes one attempt, with its prefill elsewhere if the plan has one.
 func (j *job) attempt(ctx context.Context, plan Plan) *failure.Request {
 	a := &Attempt{Request: j.req, Endpoint: plan.Serve, HeldEvents: j.held}
+	a.Ready = func() { j.recheck(plan, plan.Serve) }
 	if plan.Prefill != nil {
 		if failed := j.prefill(ctx, plan, a); failed != nil {
 			plan.Watch.Finished(nil, true)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -202,6 +202,7 @@
 
 type planWatch plans
 
+func (w *planWatch) Recheck(e *directory.Endpoint) Recheck { return Recheck{Now: e} }
 func (w *planWatch) Prefilled(*failure.Request, bool) {}
 func (w *planWatch) FirstEvent()                      {}
 func (w *planWatch) Finished(*failure.Request, bool)  { w.open-- }
--- a/relay/request.go
+++ b/relay/request.go
@@ -78,6 +78,9 @@
 	// CopyFrom is an engine from which the endpoint first copies what it lacks of the
 	// prompt's KV cache, before it prefills the rest, or is nil.
 	CopyFrom *directory.Endpoint
+	// Ready is called by the Upstream when all that is left is to write: once there is a
+	// connection, just before the first byte.
+	Ready func()
 }
 
 // KVHandle names a prompt's KV cache that an engine holds for a short time.
@@ -140,6 +143,8 @@
 // Watch follows one attempt, so that the next decisions know of it. abandoned
 // says that this side gave up, which tells nothing about the endpoint.
 type Watch interface {
+	// Recheck tells whether an endpoint of the plan may still be sent to.
+	Recheck(e *directory.Endpoint) Recheck
 	// Prefilled is called when the prefill engine has read the prompt, or failed to.
 	Prefilled(failed *failure.Request, abandoned bool)
 	// FirstEvent is called when the first event or the answer's head has come.
--- a/table/feed.go
+++ b/table/feed.go
@@ -13,6 +13,9 @@
 	Row Row
 	// Deleted is set when the row is no longer there; Value is then nil.
 	Deleted bool
+	// NotBefore is the earliest time, by this VM's clock, at which the change can have been
+	// made as far as its source can tell; zero if it cannot.
+	NotBefore time.Time
 }
 
 // Feed reads a table as a whole and follows its changes. Implementations are
