--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -203,9 +203,9 @@
 type planWatch plans
 
 func (w *planWatch) Recheck(e *directory.Endpoint) Recheck { return Recheck{Now: e} }
-func (w *planWatch) Prefilled(*failure.Request, bool) {}
-func (w *planWatch) FirstEvent()                      {}
-func (w *planWatch) Finished(*failure.Request, bool)  { w.open-- }
+func (w *planWatch) Prefilled(*failure.Request, bool)      {}
+func (w *planWatch) FirstEvent()                           {}
+func (w *planWatch) Finished(*failure.Request, bool)       { w.open-- }
 
 // counter is a Budget with a fixed number of retries.
 type counter struct{ first, taken, left int }
