Prove the last look for each way of waiting and each change

The test of suspended deadlines shared a variable with its clock's goroutine without a lock (found with -race); mended.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -386,3 +386,55 @@
 		t.Errorf("%d tokens held in memory for 100", c.used)
 	}
 }
+
+// A plan says by itself when its endpoints are no longer fit: ejected since, ordered by this VM or
+// by another to change their role. The trial of an endpoint that was ejected stays fit.
+func TestPlanKnowsWhenItsEndpointsAreUnfit(t *testing.T) {
+	inTime(t, func(t *testing.T, b *bed) {
+		for _, id := range []string{"d1", "d2", "d3", "d4"} {
+			b.engine(id, "a", engine.Decode)
+		}
+		p := b.plan(b.chat(), relay.Try{})
+		if cause := p.Watch.Recheck(p.Serve); cause != "" {
+			t.Errorf("at once: %q", cause)
+		}
+		b.ordered = []string{p.Serve.ID}
+		if cause := p.Watch.Recheck(p.Serve); cause != relay.EndpointChangesRole {
+			t.Errorf("ordered by this VM: %q", cause)
+		}
+		b.ordered = nil
+		b.planner.Heard(&sharepb.Load{Vm: "other", Changing: []uint32{loadshare.Hash(p.Serve.Incarnation())}})
+		if cause := p.Watch.Recheck(p.Serve); cause != relay.EndpointChangesRole {
+			t.Errorf("ordered by another VM: %q", cause)
+		}
+		time.Sleep(changeMemory)
+		for range b.planner.tuning.Health.ConsecutiveFailures {
+			w := b.planner.failing(t, p.Serve)
+			w.Finished(broke(), false)
+		}
+		if cause := p.Watch.Recheck(p.Serve); cause != relay.EndpointEjected {
+			t.Errorf("ejected: %q", cause)
+		}
+		time.Sleep(b.planner.tuning.Health.BaseEjection)
+		trial := b.planner.failing(t, p.Serve)
+		if cause := trial.Recheck(p.Serve); cause != "" {
+			t.Errorf("the trial itself: %q", cause)
+		}
+		if cause := p.Watch.Recheck(p.Serve); cause != relay.EndpointEjected {
+			t.Errorf("beside a trial: %q", cause)
+		}
+	})
+}
+
+// failing returns an attempt at an endpoint.
+func (p *Planner) failing(t *testing.T, e *directory.Endpoint) *watch {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := &decision{p: p, r: &relay.Request{}, now: p.now()}
+	h, ok := d.take(e, work{runs: 1})
+	if !ok {
+		t.Fatalf("%s takes no attempt", e.ID)
+	}
+	return &watch{p: p, serve: h}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -189,7 +190,8 @@
 	open  int
 	// dir knows the endpoints, which are registered when first planned for.
 	dir *directory.Directory
-	// unfit are the endpoints that are ejected or about to change their role by now.
+	// mu guards unfit, the endpoints that are ejected or about to change their role by now.
+	mu    sync.Mutex
 	unfit map[string]Cause
 }
 
@@ -224,10 +226,15 @@
 
 type planWatch plans
 
-func (w *planWatch) Recheck(e *directory.Endpoint) Cause { return w.unfit[e.ID] }
-func (w *planWatch) Prefilled(*failure.Request, bool)      {}
-func (w *planWatch) FirstEvent()                           {}
-func (w *planWatch) Finished(*failure.Request, bool)       { w.open-- }
+func (w *planWatch) Recheck(e *directory.Endpoint) Cause {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unfit[e.ID]
+}
+
+func (w *planWatch) Prefilled(*failure.Request, bool) {}
+func (w *planWatch) FirstEvent()                      {}
+func (w *planWatch) Finished(*failure.Request, bool)  { w.open-- }
 
 // counter is a Budget with a fixed number of retries.
 type counter struct{ first, taken, left int }
@@ -278,12 +285,28 @@
 	within time.Duration
 	// then are things that happen while the request is under way, each after some time.
 	then []happening
+	// unfit are the endpoints that are not fit to be sent to from the beginning.
+	unfit map[string]Cause
 	// guard, router and stops are what else may change; nil is nothing.
 	guard  Guard
 	router Router
 	stops  func() time.Time
 }
 
+// fresh returns a copy whose scripts have not been played.
+func (w world) fresh() world {
+	w.sends, w.reads = freshSteps(w.sends), freshSteps(w.reads)
+	return w
+}
+
+func freshSteps(list []step) []step {
+	out := slices.Clone(list)
+	for i := range out {
+		out[i].pieces = slices.Clone(out[i].pieces)
+	}
+	return out
+}
+
 // outcome is what became of it.
 type outcome struct {
 	Status   int
@@ -315,10 +338,18 @@
 	var out outcome
 	synctest.Test(t, func(t *testing.T) {
 		up := &script{sends: w.sends, prefills: w.reads}
-		planner := &plans{list: w.plans, dir: directory.New(nil), unfit: map[string]Cause{}}
-		budget := &counter{left: w.budget}
+		planner := &plans{list: w.plans, dir: directory.New(nil), unfit: w.unfit}
+		if planner.unfit == nil {
+			planner.unfit = map[string]Cause{}
+		}
+		budget, others := &counter{left: w.budget}, &counter{left: w.budget}
 		relay := New(Config{
-			Planner: planner, Upstream: up, Budget: func(string) Budget { return budget },
+			Planner: planner, Upstream: up, Budget: func(service string) Budget {
+				if service == "s" {
+					return budget
+				}
+				return others
+			},
 			Guard: w.guard, Router: w.router, Endpoints: planner.dir.Snapshot, StopsAt: w.stops,
 		})
 		req := &Request{ID: "r", Route: &w.route, Service: "s", Received: time.Now(), HeldEvents: w.held}
--- a/relay/suspension_test.go
+++ b/relay/suspension_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,20 +15,20 @@
 // and no endpoint is told of more time than the caller has.
 func TestDeadlineOfARequestAcrossASuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var suspended time.Duration
-		defer clock.Simulate(func() time.Duration { return suspended })()
+		var suspended atomic.Int64 // nanoseconds
+		defer clock.Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 		watching, stop := context.WithCancel(t.Context())
-		defer stop()
+		defer func() { stop(); synctest.Wait() }()
 		go clock.Watch(watching)
 		synctest.Wait()
 		r := &Request{Received: clock.Now(), Deadline: clock.Now().Add(4 * time.Second)}
 		ctx, cancel := r.context(t.Context())
 		defer cancel()
-		suspended = 3 * time.Second
+		suspended.Store(int64(3 * time.Second))
 		if got := r.Left(clock.Now()); got != time.Second {
 			t.Errorf("%v are left, want 1s", got)
 		}
-		suspended = 5 * time.Second
+		suspended.Store(int64(5 * time.Second))
 		time.Sleep(200 * time.Millisecond)
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			t.Errorf("the request goes on after its time: %v", ctx.Err())
