Learn of leavings also while a zone's reader falls silent: no question waits for it

Cause: a VM that reads the endpoints from another one of its zone waited for that one's answer for up to 1.07 s after it had been suspended, and then for a store that may be slow. The last VM knew of a leaving after 1.82 s of the 2 s that it has, which leaves too little for the way of a request that is written.

Change: a question to a VM ends when that VM loses its place, which it does within half a second of its last datagram.

--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -29,6 +29,9 @@
 	// listTimeout bounds reading a whole table from another VM: three thousand endpoints
 	// are under a megabyte, which takes a VM's link of 20 Mbit/s 0.4 s.
 	listTimeout = 1500 * time.Millisecond
+	// PlaceInterval is how often a VM that waits for another's answer looks whether that one
+	// still has its place.
+	PlaceInterval = 100 * time.Millisecond
 	// doubt is how long a VM that gave no answer is not asked again. The VMs that it
 	// served ask the store meanwhile, with a wait that makes this cost a call or two each.
 	doubt = 3 * time.Second
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,7 +24,7 @@
 // List implements table.Feed.
 func (s *Source) List(ctx context.Context, name string) ([]table.Row, table.Version, error) {
 	for _, address := range s.candidates() {
-		ctx, cancel := clock.WithTimeout(ctx, listTimeout)
+		ctx, cancel := s.whileReader(ctx, address, listTimeout)
 		rows, at, err := s.peers.List(ctx, address, name)
 		cancel()
 		if err == nil && at < s.cache.at() {
@@ -70,7 +71,7 @@
 
 // askPeer asks another VM for changes.
 func (s *Source) askPeer(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
-	ctx, cancel := clock.WithTimeout(ctx, wait+peerWaitMargin)
+	ctx, cancel := s.whileReader(ctx, address, wait+peerWaitMargin)
 	defer cancel()
 	changes, next, err := s.peers.Changes(ctx, address, name, after, wait)
 	if err != nil {
@@ -81,6 +82,18 @@
 	return changes, next, nil
 }
 
+// whileReader bounds a question to another VM by a time, and by that VM's place: one that falls
+// silent loses it within half a second, and news must not wait until a question to it times out.
+func (s *Source) whileReader(ctx context.Context, address string, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := clock.WithTimeout(ctx, limit)
+	go loop.Every(ctx, PlaceInterval, func() {
+		if !slices.Contains(s.place().Before, address) {
+			cancel()
+		}
+	})
+	return ctx, cancel
+}
+
 func (s *Source) changesOfStore(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	if err := s.resting(); err != nil {
 		return nil, 0, err
--- a/feedshare/zone_test.go
+++ b/feedshare/zone_test.go
@@ -47,6 +47,14 @@
 	calls int
 	// away makes the store fail for all.
 	away bool
+	// delay is how long the store takes over an answer, and forgets makes it keep no history.
+	delay   time.Duration
+	forgets bool
+	// settings are those of all VMs, and zones is the number of zones that they lie in.
+	settings Settings
+	zones    int
+	// notices makes the VMs of a zone notice which of them are silent.
+	notices bool
 }
 
 type vm struct {
@@ -54,18 +62,26 @@
 	index  int
 	source *Source
 
-	mu     sync.Mutex
-	fault  fault
-	values map[string]string
-	lost   int
+	mu         sync.Mutex
+	fault      fault
+	faultSince time.Time
+	values     map[string]string
+	lost       int
+	// learned is when a value of a row was first known.
+	learned map[string]time.Time
 }
 
 func key(row string) table.Key { return table.Key{Table: "t", Row: row} }
 
 // play runs n VMs of a zone in virtual time.
 func play(t *testing.T, n int, steps func(z *zone)) {
+	playZones(t, &zone{settings: Settings{Within: within, Gather: within / 3}, zones: 1}, n, steps)
+}
+
+// playZones runs n VMs in virtual time.
+func playZones(t *testing.T, z *zone, n int, steps func(z *zone)) {
 	synctest.Test(t, func(t *testing.T) {
-		z := &zone{t: t, store: memtable.New()}
+		z.t, z.store = t, memtable.New()
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		for i := range n {
@@ -85,17 +101,41 @@
 }
 
 func (z *zone) add(i int) {
-	v := &vm{zone: z, index: i, values: map[string]string{}}
-	v.source = NewSource("t", Settings{Within: within, Gather: within / 3}, storeOf{v}, peersOf{v}, func() Place {
-		var before []string
-		for j := range min(i, 2) {
-			before = append(before, fmt.Sprint(j))
-		}
-		return Place{Before: before, First: i == 0}
-	})
+	v := &vm{zone: z, index: i, values: map[string]string{}, learned: map[string]time.Time{}}
+	v.source = NewSource("t", z.settings, storeOf{v}, peersOf{v}, v.place)
 	z.vms = append(z.vms, v)
 }
 
+// noticed is after what time the other VMs of a zone notice that one is silent.
+const noticed = 400 * time.Millisecond
+
+// place is where the VM stands among those of its zone that are not known to be silent.
+func (v *vm) place() Place {
+	z := v.zone
+	var before []string
+	first := true
+	for i := v.index % z.zones; i < v.index; i += z.zones {
+		if z.notices && z.vms[i].silentFor() >= noticed {
+			continue
+		}
+		first = false
+		if len(before) < 2 {
+			before = append(before, fmt.Sprint(i))
+		}
+	}
+	return Place{Before: before, First: first}
+}
+
+// silentFor is how long the VM has said nothing to the others.
+func (v *vm) silentFor() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.fault != frozen && v.fault != unreachable {
+		return 0
+	}
+	return time.Since(v.faultSince)
+}
+
 func (v *vm) run(ctx context.Context) {
 	f := &table.Follower{
 		Feed: v.source, Table: "t",
@@ -104,7 +144,7 @@
 			defer v.mu.Unlock()
 			v.values = map[string]string{}
 			for _, r := range rows {
-				v.values[r.Key.Row] = string(r.Value)
+				v.learn(r)
 			}
 		},
 		OnChanges: func(changes []table.Change, _ bool) {
@@ -114,7 +154,7 @@
 				if c.Deleted {
 					delete(v.values, c.Row.Key.Row)
 				} else {
-					v.values[c.Row.Key.Row] = string(c.Row.Value)
+					v.learn(c.Row)
 				}
 			}
 		},
@@ -127,6 +167,14 @@
 	f.Run(ctx)
 }
 
+// learn takes in a row. The caller holds mu.
+func (v *vm) learn(r table.Row) {
+	v.values[r.Key.Row] = string(r.Value)
+	if id := r.Key.Row + "=" + string(r.Value); v.learned[id].IsZero() {
+		v.learned[id] = time.Now()
+	}
+}
+
 func (v *vm) is(f fault) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -136,7 +184,7 @@
 func (v *vm) set(f fault) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.fault = f
+	v.fault, v.faultSince = f, time.Now()
 }
 
 func (v *vm) losses() int {
@@ -158,7 +206,7 @@
 	away := s.vm.zone.isAway()
 	if s.vm.is(deafToStore) || s.vm.is(frozen) {
 		select { // the platform's client gives up half a second after the wait
-		case <-time.After(within/3 + 500*time.Millisecond):
+		case <-time.After(s.vm.zone.settings.wait() + 500*time.Millisecond):
 		case <-ctx.Done():
 		}
 		away = true
@@ -171,6 +219,7 @@
 
 func (s storeOf) List(ctx context.Context, name string) ([]table.Row, table.Version, error) {
 	s.vm.zone.ask()
+	time.Sleep(s.vm.zone.delay)
 	if err := s.before(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -179,9 +228,13 @@
 
 func (s storeOf) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	s.vm.zone.ask()
+	time.Sleep(s.vm.zone.delay)
 	if err := s.before(ctx); err != nil {
 		return nil, 0, err
 	}
+	if missed, _, err := s.vm.zone.store.Changes(ctx, name, after, 0); s.vm.zone.forgets && err == nil && len(missed) > 0 {
+		return nil, 0, &table.HistoryGoneError{Table: name, After: after}
+	}
 	changes, next, err := s.vm.zone.store.Changes(ctx, name, after, wait)
 	if again := s.before(ctx); again != nil {
 		return nil, 0, again // what came while the VM was cut off is lost
--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// The parts of the time for a leaving add up to less than the whole, with a reserve where it is long
+// enough; a time that is too short costs questions to the store, not lateness.
+func TestDrainBudget(t *testing.T) {
+	for _, tc := range []struct {
+		within, gather, reserve time.Duration
+	}{
+		{2 * time.Second, 2 * time.Second / 3, 300 * time.Millisecond},
+		{5 * time.Second, 5 * time.Second / 3, 2 * time.Second},
+		{1200 * time.Millisecond, 200 * time.Millisecond, 0},
+		{800 * time.Millisecond, 0, -200 * time.Millisecond},
+	} {
+		b := newDrainBudget(tc.within)
+		if b.gather != tc.gather {
+			t.Errorf("of %v, %v are for gathering, want %v", tc.within, b.gather, tc.gather)
+		}
+		if left := tc.within - b.total(); left < tc.reserve {
+			t.Errorf("of %v, %v are left, want %v", tc.within, left, tc.reserve)
+		}
+	}
+}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -10,13 +10,8 @@
 )
 
 const (
-	// gatherPart is the part of the time within which a leaving endpoint must get no new
-	// work that endpoints' changes are left to gather at the store. Where endpoints start,
-	// leave or change their roles one after the other, each change would be a question;
-	// the rest of that time is for a store that is slow and for one question that is lost.
-	gatherPart = 3
-	// gatherConfig is the same for configurations, which come in quick succession now and
-	// then, and of which each is to be in force soon.
+	// gatherConfig is how long configurations are left to gather at the store. They come in
+	// quick succession now and then, and each is to be in force soon.
 	gatherConfig = 250 * time.Millisecond
 	// gatherRoster is the same for the VMs: hundreds register when a site starts, and nothing
 	// waits for one more.
@@ -41,7 +36,7 @@
 	}
 	drain, apply := g.settings.DrainWithin, g.settings.ApplyWithin
 	g.configs = source(g.platform.Config.Table, apply, gatherConfig)
-	g.endpoints = source(g.platform.Endpoints, drain, drain/gatherPart)
+	g.endpoints = source(g.platform.Endpoints, drain, newDrainBudget(drain).gather)
 	g.vms = source(roster.Table, rosterWithin, gatherRoster)
 	g.verdicts = source(poison.Table, g.settings.ContactWithin, 0)
 }
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -250,7 +250,7 @@
 		t.Errorf("a weak VM tells %v, want the strongest of its zone", got)
 	}
 	// The strongest stays silent, so the next by name takes its place.
-	now = now.Add(2 * collectorTimeout)
+	now = now.Add(2 * CollectorTimeout)
 	if got := names(weak.toldBy(now)); len(got) != 1 || got[0] != "vm00" {
 		t.Errorf("then it tells %v", got)
 	}
--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -12,9 +12,9 @@
 	// directPeers is the number of peers up to which every VM tells every other.
 	// Beyond it the datagrams of all to all would grow with the square of the VMs.
 	directPeers = 15
-	// collectorTimeout is how long a collector may be silent before the next VM of
+	// CollectorTimeout is how long a collector may be silent before the next VM of
 	// the zone takes its place: some rounds, so that lost datagrams do not count.
-	collectorTimeout = 400 * time.Millisecond
+	CollectorTimeout = 400 * time.Millisecond
 	// placedRound is the most prompts that are told in one round of a collector: some
 	// three datagrams, as many as the work takes. Work is what choices hang on, so it
 	// must not wait behind the prompts of a burst.
@@ -184,7 +184,7 @@
 // alive tells whether a VM was heard lately, or has not been relied on for long
 // enough to say.
 func (r *region) alive(name string, now time.Time) bool {
-	if now.Sub(r.heardAt[name]) < collectorTimeout {
+	if now.Sub(r.heardAt[name]) < CollectorTimeout {
 		return true
 	}
 	since, relied := r.reliedAt[name]
@@ -192,7 +192,7 @@
 		r.reliedAt[name] = now
 		return true
 	}
-	return now.Sub(since) < collectorTimeout
+	return now.Sub(since) < CollectorTimeout
 }
 
 // heard notes a datagram that a VM made itself.
