Look again at an entry's choice after a prefill and after a claim

Change: forward asks the plan once more after such a wait. An endpoint that leaves, is withheld, or a VM that may start nothing new, is not sent to; the request is routed again with the cache that was prefilled and under the same claim, which costs neither an attempt nor a retry. The router finds an engine for a cache that waits.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -52,6 +52,15 @@
 	return "", nil
 }
 
+// recheck tells why the endpoint that serves may no longer be sent to.
+func (a *attempt) recheck() *failure.Request {
+	err := a.d.gate.Recheck(a.acquired[len(a.acquired)-1].endpoint)
+	if err == nil {
+		return nil
+	}
+	return notAllowed(err)
+}
+
 // abandon gives back what was taken for an attempt that is not made.
 func (a *attempt) abandon() { a.releaseAll(health.Abandoned) }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -96,6 +96,7 @@
 		Tried:        a.Tried,
 		Hopped:       w.Hopped,
 		NoTrial:      mayBeLost(w),
+		Prefilled:    a.Prefilled,
 	}
 	if !w.Deadline.IsZero() {
 		r.Deadline = w.Deadline.Sub(d.start)
@@ -132,7 +133,7 @@
 		att.abandon()
 		return forward.Plan{}, busy, err
 	}
-	plan = forward.Plan{Serve: d.target(decision.Serve), Version: versionOn(decision.Serve, artifactOf(w, a)), Observer: att}
+	plan = forward.Plan{Serve: d.target(decision.Serve), Version: versionOn(decision.Serve, artifactOf(w, a)), Observer: att, Recheck: att.recheck}
 	if decision.Prefill != nil {
 		target := d.target(decision.Prefill)
 		plan.Prefill = &target
@@ -209,7 +210,7 @@
 func notAllowed(cause error) *failure.Request {
 	return &failure.Request{
 		Code: failure.ReasonOf(cause), Ran: failure.NotRun, RetryAfter: comeBack,
-		Message: "this VM takes no new requests now", Cause: cause,
+		Message: "no new work may be sent there now", Cause: cause,
 	}
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -60,7 +60,7 @@
 
 func (c *call) run(ctx context.Context) (*Reply, *failure.Request) {
 	for {
-		plan, id, failed := c.tries.route(ctx, 0, "")
+		plan, id, failed := c.tries.route(ctx, Attempt{})
 		if failed != nil {
 			return nil, failed
 		}
@@ -68,6 +68,9 @@
 		if failed == nil {
 			return reply, nil
 		}
+		if c.tries.again(failed) {
+			continue
+		}
 		if !c.mayRepeat(failed) {
 			return nil, c.tries.stop(ctx, failed)
 		}
@@ -97,6 +100,9 @@
 		notMade(plan.Observer, failed)
 		return stored, failed
 	}
+	if failed := c.tries.recheck(plan); failed != nil {
+		return nil, failed
+	}
 	if c.held != nil {
 		return c.outlast(ctx, plan, id)
 	}
--- a/forward/fakeforward/fakeforward.go
+++ b/forward/fakeforward/fakeforward.go
@@ -24,23 +24,36 @@
 	Versions map[string]string
 	// Ledger, if set, gives each plan its observers.
 	Ledger *Ledger
+	// Recheck, if set, tells why a target may no longer be sent to after a wait; it is not routed to
+	// either then.
+	Recheck func(target string) *failure.Request
 }
 
 // Route implements forward.Router.
 func (r Router) Route(_ context.Context, w *forward.Work, a forward.Attempt) (forward.Plan, error) {
 	for _, t := range r.Targets {
-		if suits(t, w) && !slices.Contains(a.Tried, t.Name) {
-			return r.plan(t), nil
+		if !suits(t, w) || slices.Contains(a.Tried, t.Name) || r.recheck(t.Name) != nil {
+			continue
 		}
+		return r.plan(t, a), nil
 	}
 	return forward.Plan{}, &failure.Request{
 		Code: failure.NoEndpoint, Ran: failure.NotRun, RetryAfter: RetryAfter, Message: "no endpoint can be used now",
 	}
 }
 
-func (r Router) plan(t forward.Target) forward.Plan {
-	plan := forward.Plan{Serve: t, Prefill: r.Prefill, Version: r.Versions[t.Name], Observer: r.Ledger.observer()}
-	if r.Prefill != nil {
+func (r Router) recheck(target string) *failure.Request {
+	if r.Recheck == nil {
+		return nil
+	}
+	return r.Recheck(target)
+}
+
+func (r Router) plan(t forward.Target, a forward.Attempt) forward.Plan {
+	plan := forward.Plan{Serve: t, Version: r.Versions[t.Name], Observer: r.Ledger.observer()}
+	plan.Recheck = func() *failure.Request { return r.recheck(t.Name) }
+	if r.Prefill != nil && !a.Prefilled {
+		plan.Prefill = r.Prefill
 		plan.PrefillObserver = r.Ledger.observer()
 	}
 	return plan
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -55,13 +55,16 @@
 	// versions never meet in one answer: an engine refuses one it lacks.
 	version string
 	summary Summary
+	// kv is the prompt's KV cache that was prefilled for an engine which left before it was sent
+	// anything, or nil.
+	kv *engine.KVRef
 	// noImport is set after a failed KV import: the next attempt prefills whole.
 	noImport bool
 }
 
 func (g *generation) run(ctx context.Context) *failure.Request {
 	for {
-		plan, id, failed := g.tries.route(ctx, g.tokens, g.version)
+		plan, id, failed := g.tries.route(ctx, Attempt{Emitted: g.tokens, Version: g.version, Prefilled: g.kv != nil})
 		if failed != nil {
 			return failed
 		}
@@ -69,6 +72,9 @@
 		if failed == nil || g.complete() {
 			return nil
 		}
+		if g.tries.again(failed) {
+			continue
+		}
 		if failed = g.tries.failed(ctx, plan.Serve.Pool, failed); failed != nil {
 			return failed
 		}
@@ -90,6 +96,10 @@
 	a := &attempt{g: g, id: id, target: plan.Serve, observer: plan.Observer, start: clock.Now()}
 	a.version = cmp.Or(g.version, plan.Version)
 	kv := g.prefill(ctx, plan, a)
+	if failed := g.tries.recheck(plan); failed != nil {
+		g.kv = kv // for the engine that is chosen next
+		return failed
+	}
 	failed := a.run(ctx, kv)
 	// A cache that has failed once is not tried again.
 	g.noImport = g.noImport || (kv != nil && failed != nil)
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -21,6 +21,10 @@
 // prefill runs the plan's prefill and returns the exported cache, or nil when
 // the serving engine has to prefill itself.
 func (g *generation) prefill(ctx context.Context, plan Plan, a *attempt) *engine.KVRef {
+	if kv := g.kv; kv != nil {
+		g.kv = nil
+		return kv
+	}
 	if plan.Prefill == nil {
 		return nil
 	}
--- a/forward/tries.go
+++ b/forward/tries.go
@@ -39,17 +39,21 @@
 	tried []string
 	ran   failure.Outcome
 	last  *failure.Request
+	// replans counts the attempts that were not sent as planned, and withdrawn is why the present
+	// one is not, or nil.
+	replans   int
+	withdrawn *failure.Request
 }
 
 func newTries(f *Forwarder, w *Work) *tries {
 	return &tries{f: f, w: w, ran: failure.NotRun}
 }
 
-// route asks for the target of the next attempt.
-func (t *tries) route(ctx context.Context, emitted int, version string) (Plan, string, *failure.Request) {
+// route asks for the target of the next attempt, which gets its own ID.
+func (t *tries) route(ctx context.Context, a Attempt) (Plan, string, *failure.Request) {
 	t.n++
-	id := t.w.ID + "." + strconv.Itoa(t.n)
-	plan, err := t.f.cfg.Router.Route(ctx, t.w, Attempt{ID: id, Tried: t.tried, Emitted: emitted, Version: version})
+	a.ID, a.Tried = t.w.ID+"."+strconv.Itoa(t.n), t.tried
+	plan, err := t.f.cfg.Router.Route(ctx, t.w, a)
 	if err != nil {
 		return Plan{}, "", t.routeFailure(ctx, err)
 	}
@@ -57,7 +61,7 @@
 		t.f.cfg.Budgets.Of(plan.Serve.Pool).First()
 	}
 	t.tried = append(t.tried, plan.Serve.Name)
-	return plan, id, nil
+	return plan, a.ID, nil
 }
 
 // routeFailure is final: with nowhere left to go, the failure of the attempt
@@ -80,7 +84,7 @@
 	if ctx.Err() != nil {
 		return t.givenUp(ctx)
 	}
-	if hopeless[err.Code] || t.n >= t.f.cfg.MaxAttempts {
+	if hopeless[err.Code] || t.n-t.replans >= t.f.cfg.MaxAttempts {
 		return t.final(err)
 	}
 	if !t.f.cfg.Budgets.Of(pool).Take() {
--- a/forward/work.go
+++ b/forward/work.go
@@ -99,6 +99,9 @@
 	// Version is the version of the weights that those tokens were computed
 	// with; the plan must have the same one. Empty takes any.
 	Version string
+	// Prefilled is set when an engine holds the prompt's KV cache for whichever serves: the plan
+	// needs no prefill.
+	Prefilled bool
 }
 
 // Plan is where one attempt goes.
@@ -112,6 +115,8 @@
 	// Observer is told how the attempt went, PrefillObserver how the prefill
 	// did; nil when nobody wants to know.
 	Observer, PrefillObserver Observer
+	// Recheck tells, after a wait, why Serve may no longer be sent to; nil when nothing can change.
+	Recheck func() *failure.Request
 }
 
 // Observer follows one attempt.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -40,6 +40,9 @@
 	// NoTrial keeps the request off half-open endpoints: it is set on calls that
 	// may not be repeated elsewhere when the trial fails.
 	NoTrial bool
+	// Prefilled is set when the prompt's KV cache waits for an importer: an engine of the own zone
+	// is wanted that decodes.
+	Prefilled bool
 }
 
 // Decision is where to send a request.
@@ -111,6 +114,9 @@
 // Decide chooses where r goes. Errors are *NoEndpointError.
 func (ro *Router) Decide(s *fleet.Snapshot, r *Request, rng Rand) (Decision, error) {
 	local, err := ro.local(s, r, rng)
+	if r.Prefilled {
+		return local, err
+	}
 	zone, spills := ro.spill(s, r, local, err == nil, rng)
 	if spills {
 		return zone, nil
@@ -153,6 +159,18 @@
 	limit := min(d.cfg.PrefixCandidates, maxHits)
 	d.nhits = len(d.chain.Best(d.hits[:0], limit, d.rng.Uint64()))
 
+	best := d.whole()
+	if d.r.Prefilled {
+		best = d.importer()
+	}
+	if best.Endpoint == nil {
+		return Decision{}, d.refusal()
+	}
+	return d.decision(best), nil
+}
+
+// whole returns the best engine, or pair of them, for a prompt that nobody has prefilled.
+func (d *decider) whole() Estimate {
 	best := d.best(Whole, engine.Mixed)
 	if d.cfg.WholeOnDecode {
 		best = cheaper(best, d.best(Whole, engine.Decode))
@@ -160,10 +178,12 @@
 	if d.cfg.Pairs {
 		best = cheaper(best, d.pair())
 	}
-	if best.Endpoint == nil {
-		return Decision{}, d.refusal()
-	}
-	return d.decision(best), nil
+	return best
+}
+
+// importer returns the best engine to import a prompt's KV cache and decode.
+func (d *decider) importer() Estimate {
+	return cheaper(d.best(DecodeHalf, engine.Decode), d.best(DecodeHalf, engine.Mixed))
 }
 
 // pair returns the best pair of a prefill and a decode engine. The cost of a
@@ -174,7 +194,7 @@
 	if first.Endpoint == nil {
 		return Estimate{}
 	}
-	second := cheaper(d.best(DecodeHalf, engine.Decode), d.best(DecodeHalf, engine.Mixed))
+	second := d.importer()
 	if second.Endpoint == nil {
 		return Estimate{}
 	}
--- a/withhold/gate.go
+++ b/withhold/gate.go
@@ -101,6 +101,18 @@
 	return Hold{slot: s}, nil
 }
 
+// Recheck tells why an attempt that holds an endpoint may not be sent there any more after a wait:
+// the endpoint leaves, is withheld, or this VM may start nothing new. The errors are TryAcquire's.
+func (g *Gate) Recheck(endpoint string) error {
+	if signal, is := g.leaving.Leaving(endpoint); is {
+		return &LeavingError{Endpoint: endpoint, Signal: signal}
+	}
+	if g.Withheld(endpoint) {
+		return &RefusedError{Endpoint: endpoint}
+	}
+	return g.permit.Allow()
+}
+
 // Withheld tells whether the endpoint gets no new work.
 func (g *Gate) Withheld(endpoint string) bool {
 	v, ok := g.slots.Load(endpoint)
--- a/withhold/gate_test.go
+++ b/withhold/gate_test.go
@@ -154,3 +154,34 @@
 		}
 	})
 }
+
+// An attempt that holds an endpoint asks again after a wait: it may not go where the endpoint
+// leaves or is withheld by now, nor at all where this VM may start nothing.
+func TestGateRecheck(t *testing.T) {
+	set := leaving.NewSet()
+	g := NewGate(set)
+	p := &permit{}
+	g.SetPermit(p)
+	if _, err := g.TryAcquire("e"); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Recheck("e"); err != nil {
+		t.Errorf("at once: %v", err)
+	}
+	set.Note("e", "e1", true)
+	var leaves *LeavingError
+	if err := g.Recheck("e"); !errors.As(err, &leaves) {
+		t.Errorf("leaving: %v", err)
+	}
+	set.Note("e", "e2", false)
+	g.Withhold("e", 1)
+	var withheld *RefusedError
+	if err := g.Recheck("e"); !errors.As(err, &withheld) {
+		t.Errorf("withheld: %v", err)
+	}
+	g.Restore("e", 2)
+	p.err = &LeavingError{Endpoint: "this VM"}
+	if err := g.Recheck("e"); err != p.err {
+		t.Errorf("without a permit: %v", err)
+	}
+}
