Let versions hold the store's epoch, and act on nothing that a copy has taken back

Callers were sent to endpoints that had left, a configuration could be missed for ever, a VM that joined lately was in nobody's list for 30 s, and a request known to crash endpoints crashed one more, once the store had come back from a copy.

Cause: a version was taken to name one state for ever, and an acknowledged write to last.

Change: a table.Version is a pair of epoch and number, and of two the one of the later epoch is the later. Tables are listed anew at once: what was known of the same start of an endpoint stands against the copy until the endpoint writes its row again; VMs that the copy lacks count for a while more; own rows and verdicts are written again within 1.5 s, spread over the VMs. A lease of an earlier epoch is lost at once, nobody takes one within its term of the epoch's beginning, and fencing numbers begin with the epoch.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,6 +11,7 @@
 
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/table"
 )
 
 // Registration is what an endpoint's row in the store says.
@@ -21,7 +22,7 @@
 	// clock; zero if it does not say. Of two starts under one ID the larger is the later.
 	Born int64
 	// Version is that of the row.
-	Version uint64
+	Version table.Version
 	// Service is what it serves.
 	Service string
 	// Address is its host:port. After the endpoint has ended, the address may
@@ -99,6 +100,10 @@
 	// mu guards writes. It is a leaf, but OnChange is called under it.
 	mu       sync.Mutex
 	byID     map[string]*Endpoint
+	// departed are the endpoints that have been dropped lately, and disputed are rows that the store
+	// holds and that do not count: see StepBack.
+	departed map[string]departure
+	disputed map[string]Registration
 	snapshot atomic.Pointer[Snapshot]
 	onChange func(old, now *Snapshot)
 }
@@ -106,7 +111,7 @@
 // New returns an empty directory. onChange, which may be nil, is called with
 // each new snapshot and the one before it, in order.
 func New(onChange func(old, now *Snapshot)) *Directory {
-	d := &Directory{byID: map[string]*Endpoint{}, onChange: onChange}
+	d := &Directory{byID: map[string]*Endpoint{}, departed: map[string]departure{}, disputed: map[string]Registration{}, onChange: onChange}
 	d.snapshot.Store(&Snapshot{})
 	return d
 }
@@ -121,11 +126,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range list {
-		d.byID[r.ID] = d.newer(r)
+		d.take(r)
 	}
 	d.publish()
 }
 
+// take takes in an endpoint's own word. The caller holds mu.
+func (d *Directory) take(r Registration) {
+	delete(d.disputed, r.ID)
+	delete(d.departed, r.ID)
+	d.byID[r.ID] = d.newer(r)
+}
+
 // newer returns the endpoint of a registration, or the known one if that is of a later
 // start. The caller holds mu.
 func (d *Directory) newer(r Registration) *Endpoint {
@@ -146,11 +158,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range ids {
-		delete(d.byID, id)
+		d.drop(id)
 	}
 	d.publish()
 }
 
+// drop forgets an endpoint, and remembers for a while that it did. The caller holds mu.
+func (d *Directory) drop(id string) {
+	delete(d.disputed, id)
+	if e := d.byID[id]; e != nil {
+		d.departed[id] = departure{born: e.Born, version: e.Version, at: clock.Now()}
+	}
+	delete(d.byID, id)
+}
+
 // Lapse marks an endpoint whose row is missing but may come back.
 func (d *Directory) Lapse(id string) {
 	d.mu.Lock()
@@ -182,6 +203,12 @@
 		next[id] = &kept
 		lapsed = append(lapsed, id)
 	}
+	for id := range d.byID {
+		if next[id] == nil {
+			d.drop(id)
+		}
+	}
+	clear(d.disputed)
 	d.byID = next
 	d.publish()
 	return lapsed
@@ -193,7 +220,7 @@
 	defer d.mu.Unlock()
 	for _, id := range ids {
 		if e := d.byID[id]; e != nil && e.Lapsed {
-			delete(d.byID, id)
+			d.drop(id)
 			removed = append(removed, id)
 		}
 	}
--- /dev/null
+++ b/directory/stepback.go
@@ -0,0 +1,84 @@
+package directory
+
+import (
+	"maps"
+	"time"
+
+	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/table"
+)
+
+// departure is an endpoint that was dropped.
+type departure struct {
+	born    int64
+	version table.Version
+	at      time.Time
+}
+
+// departureMemory is how long departures are remembered: longer than a copy of the store is old,
+// and as long again.
+const departureMemory = time.Minute
+
+// StepBack takes in the whole list of a store that has come back from a copy. What was known stands
+// against what the copy says of the same start of an endpoint, and a row of one that has left since
+// does not bring it back: such rows are disputed, and their IDs are returned. They count once the
+// endpoint writes its row again, or with Settle. Endpoints that the copy lacks are marked as lapsed,
+// as with Replace.
+func (d *Directory) StepBack(list []Registration) (lapsed, disputed []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forgetDepartures()
+	clear(d.disputed)
+	listed := make(map[string]bool, len(list))
+	for _, r := range list {
+		listed[r.ID] = true
+		if d.outdated(r) {
+			d.disputed[r.ID] = r
+			disputed = append(disputed, r.ID)
+			continue
+		}
+		d.byID[r.ID] = d.newer(r)
+	}
+	for id, old := range d.byID {
+		if listed[id] {
+			continue
+		}
+		kept := *old
+		kept.Lapsed = true
+		d.byID[id] = &kept
+		lapsed = append(lapsed, id)
+	}
+	d.publish()
+	return lapsed, disputed
+}
+
+// outdated tells whether a row of a copy is older than what is known of the same start of its
+// endpoint. A row keeps its number in a copy, so that the lower number is the older row; only of an
+// endpoint that leaves is it never believed that it does not. The caller holds mu.
+func (d *Directory) outdated(r Registration) bool {
+	if known := d.byID[r.ID]; known != nil {
+		same := known.Born == r.Born
+		return same && (known.Version.Number() > r.Version.Number() || known.Draining && !r.Draining)
+	}
+	left, is := d.departed[r.ID]
+	return is && left.born == r.Born
+}
+
+// Settle lets the rows count that are still disputed, and returns their IDs: had the endpoints said
+// otherwise, or gone, the store would know it by now.
+func (d *Directory) Settle(ids []string) (settled []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range ids {
+		if r, is := d.disputed[id]; is {
+			d.take(r)
+			settled = append(settled, id)
+		}
+	}
+	d.publish()
+	return settled
+}
+
+func (d *Directory) forgetDepartures() {
+	maps.DeleteFunc(d.departed, func(_ string, left departure) bool { return clock.Since(left.at) > departureMemory })
+}
--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -92,6 +92,8 @@
 	TableSuperseded Reason = "table-superseded"
 	// TableHistoryGone is a question for changes that the table no longer keeps.
 	TableHistoryGone Reason = "table-history-gone"
+	// TableEpochOver is an answer or a condition from before the store came back from a copy.
+	TableEpochOver Reason = "table-epoch-over"
 
 	// FeedNotReader is a question for a table to a VM that has no news of its own of it.
 	FeedNotReader Reason = "feed-not-reader"
--- a/feedshare/zone_test.go
+++ b/feedshare/zone_test.go
@@ -139,7 +139,7 @@
 func (v *vm) run(ctx context.Context) {
 	f := &table.Follower{
 		Feed: v.source, Table: "t",
-		OnList: func(rows []table.Row, _ bool) {
+		OnList: func(rows []table.Row, _ table.Listing) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
 			v.values = map[string]string{}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -16,7 +16,7 @@
 	f := &table.Follower{
 		Feed:  g.configs,
 		Table: g.platform.Config.Table,
-		OnList: func(rows []table.Row, _ bool) {
+		OnList: func(rows []table.Row, _ table.Listing) {
 			for _, row := range rows {
 				g.takeConfig(row)
 			}
@@ -66,9 +66,9 @@
 	f := &table.Follower{
 		Feed:  g.endpoints,
 		Table: g.platform.Endpoints,
-		OnList: func(rows []table.Row, afterOutage bool) {
+		OnList: func(rows []table.Row, l table.Listing) {
 			first := !g.state.listed.Load()
-			g.takeEndpoints(rows, afterOutage)
+			g.takeEndpoints(rows, l)
 			if first {
 				g.learnCaches(ctx)
 			}
@@ -85,7 +85,7 @@
 }
 
 // takeEndpoints takes in the whole table.
-func (g *Gateway) takeEndpoints(rows []table.Row, afterOutage bool) {
+func (g *Gateway) takeEndpoints(rows []table.Row, l table.Listing) {
 	list := make([]directory.Registration, 0, len(rows))
 	var malformed []string
 	for _, row := range rows {
@@ -95,13 +95,19 @@
 			malformed = append(malformed, row.Key.Row)
 		}
 	}
-	lapsed := g.directory.Replace(list, afterOutage)
+	var lapsed, disputed []string
+	if l.NewEpoch {
+		lapsed, disputed = g.directory.StepBack(list)
+	} else {
+		lapsed = g.directory.Replace(list, l.AfterOutage)
+	}
 	if len(malformed) > 0 {
 		g.directory.Remove(malformed...)
 	}
 	g.lapse(lapsed)
+	g.dispute(disputed)
 	g.state.listed.Store(true)
-	klog.InfoS("gateway: endpoints read", "count", len(list), "afterOutage", afterOutage)
+	klog.InfoS("gateway: endpoints read", "count", len(list), "afterOutage", l.AfterOutage, "newEpoch", l.NewEpoch)
 }
 
 // changeEndpoints takes in changes, in their order. Registrations that follow each
@@ -171,6 +177,25 @@
 	return r, err == nil
 }
 
+// disputeFor is how long what a copy of the store says against what is known does not count. An
+// endpoint that lives writes its row again within a second or so, and the store drops the row of
+// one that does not after three such times.
+const disputeFor = 6 * time.Second
+
+// dispute lets rows of a copy count that are older than what was known, once the endpoints had the
+// time to write theirs again.
+func (g *Gateway) dispute(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	klog.InfoS("gateway: the copy of the store is older than what is known of endpoints, which stands", "endpoints", ids)
+	time.AfterFunc(disputeFor, func() {
+		if settled := g.directory.Settle(ids); len(settled) > 0 {
+			klog.InfoS("gateway: endpoints are as the copy of the store says", "endpoints", settled)
+		}
+	})
+}
+
 // lapse drops endpoints once they had the time to write their rows again.
 func (g *Gateway) lapse(ids []string) {
 	if len(ids) == 0 {
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -70,7 +70,7 @@
 func TestMalformedRowsAreNotKeptAfterAnOutage(t *testing.T) {
 	g, _ := following()
 	g.changeEndpoints([]table.Change{registered("e1", "a"), registered("e2", "a"), registered("e3", "a")}, false)
-	g.takeEndpoints([]table.Row{registered("e1", "a").Row, registered("e2", "").Row}, true)
+	g.takeEndpoints([]table.Row{registered("e1", "a").Row, registered("e2", "").Row}, table.Listing{AfterOutage: true})
 	var got []string
 	for _, e := range g.directory.Snapshot().Service("s") {
 		got = append(got, e.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,8 +62,10 @@
 
 // Platform is what the gateway needs of the platform it runs on.
 type Platform struct {
-	Rows     table.Service
-	Feed     table.Feed
+	Rows table.Service
+	Feed table.Feed
+	// Epoch returns the newest epoch of the store that is known (see table.Version).
+	Epoch    func() uint64
 	Upstream relay.Upstream
 	Engines  rolechange.Engines
 	Caches   Caches
@@ -115,7 +117,7 @@
 	g.roster = roster.New(p.Rows, g.vms, self, g.setPeers)
 	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond, Own: g.planner.Own, Heard: g.heard, News: func(n loadshare.News) { g.guard.Heard(n) }})
 	g.roles = rolechange.New(rolechange.Config{
-		VM: s.VM, Rows: p.Rows, Directory: g.directory, Services: g.state.config.Load,
+		VM: s.VM, Rows: p.Rows, Epoch: p.Epoch, Directory: g.directory, Services: g.state.config.Load,
 		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Lease: s.Lease, Rank: g.roster.Rank, Announce: g.exchange.Spread,
 	}, self.Boot, s.Peers)
 	g.guard = poison.NewGuard(poison.Config{
--- a/lease/config.go
+++ b/lease/config.go
@@ -28,6 +28,9 @@
 	// Rank is this process's place among the contenders, from zero; those
 	// behind the first few read the row more seldom. Nil means zero.
 	Rank func() int
+	// Epoch returns the newest epoch of the table service (see table.Version). Nil is a service that
+	// never comes back from a copy.
+	Epoch func() uint64
 }
 
 func (c Config) withDefaults() Config {
@@ -46,6 +49,13 @@
 	return c
 }
 
+func (c Config) epoch() uint64 {
+	if c.Epoch == nil {
+		return 0
+	}
+	return c.Epoch()
+}
+
 func (c Config) eligible() bool { return c.Eligible == nil || c.Eligible() }
 
 func (c Config) rank() int {
--- a/lease/contend.go
+++ b/lease/contend.go
@@ -21,6 +21,24 @@
 type observation struct {
 	version table.Version
 	since   time.Time
+	// epoch is the table service's, first seen at epochSince.
+	epoch      uint64
+	epochSince time.Time
+}
+
+// seeEpoch notes the table service's epoch as of now.
+func (o *observation) seeEpoch(epoch uint64, now time.Time) {
+	if o.epoch == epoch && !o.epochSince.IsZero() {
+		return
+	}
+	o.epoch, o.epochSince = epoch, now
+}
+
+// epochLeft returns how long a tenure may still last that the table service has lost: one of the
+// epoch before ends within its term of the beginning of this one, which was no later than this
+// process saw it.
+func (o *observation) epochLeft(ttl time.Duration, now time.Time) time.Duration {
+	return ttl - now.Sub(o.epochSince)
 }
 
 // see notes the row's version as of now, a time after the read returned.
@@ -40,14 +58,28 @@
 // takeoverWait returns how long a contender must wait before it may try to take
 // the lease; zero or less means at once. ttl is the least time that it counts,
 // whatever the row says.
+//
+// A row that was not written in this epoch, or that is absent, may be an old copy: a later holder
+// whom it does not show may still have authority.
 func takeoverWait(row table.Row, rec Record, obs observation, ttl time.Duration, now time.Time) time.Duration {
+	ttl = max(ttl, time.Duration(rec.TTLMillis)*time.Millisecond)
+	lost := time.Duration(0)
+	if obs.epoch != 0 && rec.Epoch != obs.epoch {
+		lost = obs.epochLeft(ttl, now)
+	}
 	if row.Version == table.Absent || rec.Released {
-		return 0
+		return lost
 	}
-	ttl = max(ttl, time.Duration(rec.TTLMillis)*time.Millisecond)
-	return obs.left(ttl, now)
+	return max(lost, obs.left(ttl, now))
 }
 
+// fenceBits are the low bits of a fencing number, which count within an epoch.
+const fenceBits = 32
+
+// epochFence is the lowest fencing number of an epoch: higher than any of the one before, of which
+// the table service may have lost some.
+func epochFence(epoch uint64) uint64 { return epoch << fenceBits }
+
 // pollEvery returns the mean time between a contender's reads.
 func pollEvery(poll time.Duration, rank int) time.Duration {
 	if rank < activeContenders {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -98,6 +98,7 @@
 	}
 	now := clock.Now()
 	obs.see(row.Version, now)
+	obs.seeEpoch(h.cfg.epoch(), now)
 	if wait := takeoverWait(row, rec, *obs, h.cfg.TTL, now); wait > 0 {
 		return nil, wait, nil
 	}
@@ -111,7 +112,8 @@
 	l := &Lease{
 		svc:   h.svc,
 		cfg:   h.cfg,
-		fence: max(old.Fence, h.floor.Load()) + 1,
+		fence: max(old.Fence, h.floor.Load(), epochFence(h.cfg.epoch())) + 1,
+		first: row.Version == table.Absent,
 		lost:  make(chan struct{}),
 	}
 	sent := clock.Now()
@@ -120,6 +122,9 @@
 		return nil, err
 	}
 	l.renewed(version, sent)
+	if _, err := l.Authority(); err != nil {
+		return nil, err // the table service came back from a copy meanwhile
+	}
 	countEvent(eventAcquired)
 	klog.Infof("lease: took %s/%s at fence %d", h.cfg.Pool, h.cfg.Zone, l.fence)
 	return l, nil
@@ -233,6 +238,7 @@
 		Holder:    l.cfg.Self,
 		Fence:     l.fence,
 		TTLMillis: l.cfg.TTL.Milliseconds(),
+		Epoch:     l.cfg.epoch(),
 	}
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -17,6 +17,7 @@
 	svc   table.Service
 	cfg   Config
 	fence uint64
+	first bool
 
 	// mu guards the fields below. No call is made while it is held.
 	mu       sync.Mutex
@@ -40,6 +41,9 @@
 // Fence returns the fencing number.
 func (l *Lease) Fence() uint64 { return l.fence }
 
+// First tells whether no tenure is known before this one.
+func (l *Lease) First() bool { return l.first }
+
 // Holder returns the process that holds the lease.
 func (l *Lease) Holder() Identity { return l.cfg.Self }
 
@@ -53,8 +57,13 @@
 func (l *Lease) Authority() (Authority, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.loss == "" && clock.Until(l.deadline) <= 0 {
+	switch {
+	case l.loss != "":
+	case clock.Until(l.deadline) <= 0:
 		l.loseLocked(Expired)
+	case l.version.Epoch() != l.cfg.epoch():
+		// The table service may have lost this tenure, and let another process begin one.
+		l.loseLocked(EpochOver)
 	}
 	if l.loss != "" {
 		return Authority{}, l.lostError()
--- a/lease/record.go
+++ b/lease/record.go
@@ -30,6 +30,8 @@
 	Fence uint64 `json:"fence"`
 	// TTLMillis is how long a successor must see the row unchanged, in milliseconds.
 	TTLMillis int64 `json:"ttl_ms"`
+	// Epoch is that of the table service in which the row was written, as its writer knew it.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Released is set by a holder that gave the lease up; no waiting is needed.
 	Released bool `json:"released,omitempty"`
 }
@@ -88,6 +90,8 @@
 const (
 	// Expired is a lease that could not be renewed in time.
 	Expired LossCause = "expired"
+	// EpochOver is a lease of a time before the table service came back from a copy.
+	EpochOver LossCause = "epoch-over"
 	// Superseded is a lease that another process has taken.
 	Superseded LossCause = "superseded"
 	// Revoked is a lease that a successor asked the holder to drop.
--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/table"
 )
@@ -32,6 +34,12 @@
 	servedPeriod = 5 * time.Second
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
+	// rewriteWithin is the time over which the VMs spread the writing of rows that the store has
+	// lost. The first that writes one spares the others.
+	rewriteWithin = 1500 * time.Millisecond
+	// droppedMemory is how long it is remembered which rows were removed: a copy of the store that
+	// still holds them is some seconds old.
+	droppedMemory = time.Minute
 )
 
 // wireVerdict is a row's value.
@@ -53,6 +61,8 @@
 	mu sync.Mutex
 	// versions are the rows as they stand, by key.
 	versions map[Subject]table.Version
+	// dropped are the requests whose rows this VM has had removed lately, and when.
+	dropped map[Subject]time.Time
 }
 
 // pending is a verdict to write down, or a row to remove.
@@ -72,7 +82,7 @@
 // NewKeeper returns a keeper of a ledger's verdicts. It writes to rows and follows the table by
 // feed.
 func NewKeeper(ledger *Ledger, rows table.Service, feed table.Feed) *Keeper {
-	return &Keeper{ledger: ledger, rows: rows, feed: feed, written: make(chan pending, maxPending), versions: map[Subject]table.Version{}}
+	return &Keeper{ledger: ledger, rows: rows, feed: feed, written: make(chan pending, maxPending), versions: map[Subject]table.Version{}, dropped: map[Subject]time.Time{}}
 }
 
 // Run follows the table and writes to it until ctx ends.
@@ -98,6 +108,8 @@
 	k.mu.Lock()
 	version, there := k.versions[s]
 	delete(k.versions, s)
+	maps.DeleteFunc(k.dropped, func(_ Subject, at time.Time) bool { return clock.Since(at) > droppedMemory })
+	k.dropped[s] = clock.Now()
 	k.mu.Unlock()
 	if there {
 		k.enqueue(pending{verdict: Verdict{Subject: s}, remove: true, version: version})
@@ -188,29 +200,68 @@
 func (k *Keeper) follow(ctx context.Context) {
 	f := &table.Follower{
 		Feed: k.feed, Table: Table, Wait: followWait,
-		OnList:    func(rows []table.Row, _ bool) { k.list(rows) },
+		OnList:    func(rows []table.Row, l table.Listing) { k.list(rows, l.NewEpoch) },
 		OnChanges: func(changes []table.Change, _ bool) { k.change(changes) },
 		OnLost:    func(err error) { klog.InfoS("poison: verdicts cannot be followed, the known ones stay", "err", err) },
 	}
 	f.Run(ctx)
 }
 
-// list takes in the whole table. Rows that are gone were removed when their term was over.
-func (k *Keeper) list(rows []table.Row) {
+// list takes in the whole table. Rows that are gone were removed when their term was over, but for
+// those that a copy of the store lacks: their verdicts stand, and are written again.
+func (k *Keeper) list(rows []table.Row, newEpoch bool) {
 	k.mu.Lock()
 	gone := k.versions
 	k.versions = map[Subject]table.Version{}
 	k.mu.Unlock()
 	for _, row := range rows {
+		if newEpoch && k.dropAgain(row) {
+			continue
+		}
 		if key, ok := k.take(row); ok {
 			delete(gone, key)
 		}
 	}
+	if newEpoch {
+		k.writeAgain()
+		return
+	}
 	for key := range gone {
 		k.ledger.Release(key)
 	}
 }
 
+// writeAgain has the verdicts written that hold on this VM and whose rows the store has lost.
+func (k *Keeper) writeAgain() {
+	lost := 0
+	for _, v := range k.ledger.Verdicts() {
+		if !k.stands(v.Subject) {
+			lost++
+			k.enqueue(pending{verdict: v, wait: rand.N(rewriteWithin)})
+		}
+	}
+	klog.InfoS("poison: the store has come back from a copy", "verdictsLost", lost)
+}
+
+// dropAgain has a row removed that this VM had removed before, and that a copy of the store still
+// holds. It tells whether that is so.
+func (k *Keeper) dropAgain(row table.Row) bool {
+	subject, err := ParseSubject(row.Key.Row)
+	if err != nil {
+		return false
+	}
+	k.mu.Lock()
+	_, dropped := k.dropped[subject]
+	if dropped {
+		k.versions[subject] = row.Version
+	}
+	k.mu.Unlock()
+	if dropped {
+		k.Drop(subject)
+	}
+	return dropped
+}
+
 // change takes in changes, in their order.
 func (k *Keeper) change(changes []table.Change) {
 	for _, c := range changes {
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -255,3 +255,14 @@
 	}
 	return list
 }
+
+// Verdicts returns the requests that are refused.
+func (l *Ledger) Verdicts() []Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Verdict, 0, len(l.verdicts))
+	for _, v := range l.verdicts {
+		list = append(list, v.Verdict)
+	}
+	return list
+}
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/table"
 )
 
 // Cause is what has changed between a decision and the sending of what was decided.
@@ -81,7 +82,7 @@
 
 // registration is the version of an endpoint's row and for how many milliseconds this VM has known
 // it; zero for none.
-func registration(e *directory.Endpoint) (version uint64, ageMS int64) {
+func registration(e *directory.Endpoint) (version table.Version, ageMS int64) {
 	if e == nil {
 		return 0, 0
 	}
--- a/rolechange/keeper.go
+++ b/rolechange/keeper.go
@@ -38,6 +38,8 @@
 	Rank func() int
 	// Now is where decisions take the time from; nil is the VM's clock.
 	Now func() time.Time
+	// Epoch returns the newest epoch of the store (see table.Version); nil is a store without any.
+	Epoch func() uint64
 	// Lease is how long after an order of one holder no other may order.
 	Lease time.Duration
 }
@@ -86,7 +88,7 @@
 		holder: lease.NewHolder(cfg.Rows, lease.Config{
 			Pool: leasePool, Zone: leaseZone,
 			Self: lease.Identity{VM: cfg.VM, Process: boot, Address: address},
-			TTL:  leaseTTL, Renew: leaseRenew, Poll: leasePoll, Rank: cfg.Rank,
+			TTL:  leaseTTL, Renew: leaseRenew, Poll: leasePoll, Rank: cfg.Rank, Epoch: cfg.Epoch,
 		}),
 	}
 }
@@ -100,7 +102,7 @@
 	klog.InfoS("rolechange: lease taken", "fence", l.Fence())
 	k.balancers = map[string]*Balancer{}
 	defer klog.InfoS("rolechange: lease left", "fence", l.Fence())
-	if l.Fence() > 1 && !loop.Sleep(ctx, k.cfg.Lease+settleMargin) {
+	if !l.First() && !loop.Sleep(ctx, k.cfg.Lease+settleMargin) {
 		return
 	}
 	for loop.Sleep(ctx, period) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -37,6 +37,12 @@
 	staleAfter    = 3 * refreshPeriod
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
+	// rewriteWithin is the time over which the VMs spread the writing of rows that the store has
+	// lost: hundreds at once are more than it takes.
+	rewriteWithin = 1500 * time.Millisecond
+	// rewriteGrace is how long a VM counts whose row the store has lost. All are back within
+	// two seconds, if their VMs live.
+	rewriteGrace = 4 * time.Second
 )
 
 // VM is one VM of the system.
@@ -67,6 +73,8 @@
 	// listed is closed once the table was read.
 	listed   chan struct{}
 	listOnce sync.Once
+	// lost holds an element when the own row is to be written again soon.
+	lost chan struct{}
 
 	mu     sync.Mutex
 	others map[string]VM
@@ -89,6 +97,7 @@
 	return &Roster{
 		rows: rows, feed: feed, self: self, onChange: onChange, others: map[string]VM{},
 		sightings: map[string]sighting{}, stale: staleAfter + rand.N(refreshPeriod), listed: make(chan struct{}),
+		lost: make(chan struct{}, 1),
 	}
 }
 
@@ -108,9 +117,9 @@
 	for ctx.Err() == nil && !r.register(ctx) {
 		loop.Sleep(ctx, loop.Jitter(retryPeriod))
 	}
-	for loop.Sleep(ctx, loop.Jitter(checkPeriod)) {
-		if r.due() {
-			r.register(ctx)
+	for r.sleep(ctx, loop.Jitter(checkPeriod)) {
+		for r.due() && !r.register(ctx) && loop.Sleep(ctx, loop.Jitter(retryPeriod)) {
+			continue
 		}
 		for _, row := range r.leftBehind() {
 			r.remove(ctx, row)
@@ -118,6 +127,29 @@
 	}
 }
 
+// sleep waits for some time, or for less if the own row was lost. It tells whether ctx goes on.
+func (r *Roster) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-r.lost:
+		return loop.Sleep(ctx, rand.N(rewriteWithin))
+	}
+}
+
+// rewrite has the own row written again soon. The caller holds mu.
+func (r *Roster) rewrite() {
+	r.written = time.Time{}
+	select {
+	case r.lost <- struct{}{}:
+	default: // it is under way
+	}
+}
+
 // due tells whether the own row is to be written again.
 func (r *Roster) due() bool {
 	r.mu.Lock()
@@ -140,6 +172,7 @@
 		klog.InfoS("roster: row not written", "err", err)
 		return false
 	}
+	klog.InfoS("roster: row written", "vm", r.self.Name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.written = clock.Now()
@@ -152,8 +185,8 @@
 func (r *Roster) follow(ctx context.Context) {
 	f := &table.Follower{
 		Feed: r.feed, Table: Table, Wait: followWait,
-		OnList: func(rows []table.Row, _ bool) {
-			r.list(rows)
+		OnList: func(rows []table.Row, l table.Listing) {
+			r.list(rows, l.NewEpoch)
 			r.listOnce.Do(func() { close(r.listed) })
 		},
 		OnChanges: func(changes []table.Change, _ bool) {
@@ -166,18 +199,56 @@
 	f.Run(ctx)
 }
 
-// list takes in the whole table. VMs that only told of themselves are forgotten: they
-// tell it again.
-func (r *Roster) list(rows []table.Row) {
+// list takes in the whole table. VMs that only told of themselves are forgotten: they tell it
+// again. Those that a copy of the store lacks count for a while more, until they have written
+// their rows again.
+func (r *Roster) list(rows []table.Row, newEpoch bool) {
 	r.mu.Lock()
+	known := r.others
 	r.others = map[string]VM{}
 	before := r.sightings
 	r.sightings = map[string]sighting{}
+	own := false
 	for _, row := range rows {
 		r.see(row, before[row.Key.Row])
+		own = own || r.isOwn(row)
+	}
+	if !own {
+		r.rewrite() // the others take this VM for gone, or for an earlier start of it
+	}
+	if newEpoch {
+		r.keepLost(known, own)
+	}
+	r.mu.Unlock()
+	r.onChange(r.Others())
+}
+
+// isOwn tells whether a row is this VM's, as it writes it.
+func (r *Roster) isOwn(row table.Row) bool {
+	var vm VM
+	return row.Key.Row == r.self.Name && json.Unmarshal(row.Value, &vm) == nil && vm == r.self
+}
+
+// keepLost keeps the VMs that a copy of the store lacks, for a while. The caller holds mu.
+func (r *Roster) keepLost(known map[string]VM, own bool) {
+	var lost []string
+	for name, vm := range known {
+		if _, listed := r.others[name]; !listed {
+			r.others[name] = vm
+			lost = append(lost, name)
+		}
 	}
-	if _, listed := r.sightings[r.self.Name]; !listed {
-		r.written = time.Time{} // the others took this VM for gone
+	klog.InfoS("roster: the store has come back from a copy", "vms", len(r.others), "kept", lost, "ownRowLost", !own)
+	time.AfterFunc(rewriteGrace, func() { r.forgetLost(lost) })
+}
+
+// forgetLost drops VMs that have not written their rows again.
+func (r *Roster) forgetLost(names []string) {
+	r.mu.Lock()
+	for _, name := range names {
+		if _, there := r.sightings[name]; !there {
+			delete(r.others, name)
+		}
 	}
 	r.mu.Unlock()
 	r.onChange(r.Others())
@@ -195,7 +266,7 @@
 		delete(r.others, name)
 		delete(r.sightings, name)
 		if name == r.self.Name {
-			r.written = time.Time{}
+			r.rewrite()
 		}
 	}
 	r.mu.Unlock()
--- a/table/feed.go
+++ b/table/feed.go
@@ -39,7 +39,7 @@
 
 // Error implements error.
 func (e *HistoryGoneError) Error() string {
-	return fmt.Sprintf("table %s: the changes after version %d are no longer kept", e.Table, e.After)
+	return fmt.Sprintf("table %s: the changes after version %s are no longer kept", e.Table, e.After)
 }
 
 // Reason implements failure.Coded.
--- a/table/follow.go
+++ b/table/follow.go
@@ -19,19 +19,28 @@
 	feedRetryMax = 800 * time.Millisecond
 )
 
+// Listing tells under which circumstances a table was read whole.
+type Listing struct {
+	// AfterOutage marks the first answer after questions that failed: what it shows as missing
+	// may have lapsed only because the store was away.
+	AfterOutage bool
+	// NewEpoch marks the first listing since the store came back from a copy: it may lack, or hold
+	// as it was, what has changed since the copy was taken.
+	NewEpoch bool
+}
+
 // Follower keeps up with one table: it reads it whole, then follows its changes,
 // and reads it whole again when they are no longer kept.
 //
-// The callbacks are called one at a time, in the order of the table's versions.
-// afterOutage marks the first answer after questions that failed: what it shows
-// as missing may have lapsed only because the store was away.
+// The callbacks are called one at a time, in the order of the table's versions. afterOutage is as
+// in Listing.
 type Follower struct {
 	Feed  Feed
 	Table string
 	// Wait is how long a question waits for a change; zero takes DefaultFeedWait.
 	Wait time.Duration
 	// OnList takes the whole table.
-	OnList func(rows []Row, afterOutage bool)
+	OnList func(rows []Row, l Listing)
 	// OnChanges takes changes; there may be none.
 	OnChanges func(changes []Change, afterOutage bool)
 	// OnLost is called when a question fails after one that did not, OnRegained
@@ -43,6 +52,8 @@
 	since time.Time
 	// failures counts the questions that failed one after the other.
 	failures int
+	// epoch is that of the last listing.
+	epoch uint64
 }
 
 // Run follows the table until ctx ends.
@@ -51,13 +62,16 @@
 		f.Wait = DefaultFeedWait
 	}
 	f.since = clock.Now()
+	listed := false
 	for ctx.Err() == nil {
 		rows, at, err := f.Feed.List(ctx, f.Table)
 		if err != nil {
 			f.failed(ctx, err)
 			continue
 		}
-		f.OnList(rows, f.answered())
+		l := Listing{AfterOutage: f.answered(), NewEpoch: listed && at.Epoch() > f.epoch}
+		listed, f.epoch = true, at.Epoch()
+		f.OnList(rows, l)
 		f.follow(ctx, at)
 	}
 }
--- a/table/follow_test.go
+++ b/table/follow_test.go
@@ -111,8 +111,12 @@
 	var told []string
 	follower := &Follower{
 		Feed: f, Table: "t",
-		OnList: func(rows []Row, outage bool) {
-			told = append(told, fmt.Sprintf("list %d outage=%v", len(rows), outage))
+		OnList: func(rows []Row, l Listing) {
+			line := fmt.Sprintf("list %d outage=%v", len(rows), l.AfterOutage)
+			if l.NewEpoch {
+				line += " new epoch"
+			}
+			told = append(told, line)
 		},
 		OnChanges: func(changes []Change, outage bool) {
 			if len(changes) == 0 && !outage {
--- a/table/table.go
+++ b/table/table.go
@@ -24,14 +24,6 @@
 // String returns table/row.
 func (k Key) String() string { return k.Table + "/" + k.Row }
 
-// Version counts the writes of one row. Absent is the version of a row that
-// does not exist. A version never comes back, even when a row is deleted and
-// made anew.
-type Version uint64
-
-// Absent is the version of a row that does not exist.
-const Absent Version = 0
-
 // Row is a row as read.
 type Row struct {
 	Key     Key     `json:"key"`
@@ -89,6 +81,20 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// EpochError is an answer, or a condition, of an epoch of the store that is over.
+type EpochError struct {
+	// Of is the epoch that it belongs to, and Now the newest that is known.
+	Of, Now uint64
+}
+
+// Error implements error.
+func (e *EpochError) Error() string {
+	return fmt.Sprintf("the store has come back from a copy: epoch %d is over, %d is the newest", e.Of, e.Now)
+}
+
+// Reason implements failure.Coded.
+func (e *EpochError) Reason() failure.Reason { return failure.TableEpochOver }
+
 // UnknownError is a write that may or may not have taken effect.
 type UnknownError struct{ Cause error }
 
@@ -114,7 +120,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("table conflict on %s: want version %d, have %d", e.Key, e.Want, e.Have)
+	return fmt.Sprintf("table conflict on %s: want version %s, have %s", e.Key, e.Want, e.Have)
 }
 
 // Reason implements failure.Coded.
