--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the tests. Tests listed in KNOWN-RED.txt (one a line: test, cause, issue;
-# three at most) are printed and passed over; every other test must pass.
+# Runs the tests. Tests listed in KNOWN-RED.txt (one a line: test, command and seed, what was
+# seen, cause, issue; three at most) are printed and passed over; every other test must pass.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 args=()
