Give each step back of the store a time of its own

Cause: what is kept for a while after a step back, or an outage, was settled by a timer that named only its endpoints.

Ruled out: a row that the endpoint wrote itself. No heartbeat of it stands between the lines (disputed 56:07.002 and 56:12.382, counted 56:13.292).

Change: a timer settles only what has stood since it was set: the very row that was disputed, a row missing no later than that. How long a dispute lasts now follows the platform's heartbeat (five of them) and is not a fixed 6 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -57,8 +57,9 @@
 	// Since is when this VM came to know of the registration.
 	Since time.Time
 	// Lapsed is set while the row is missing but may come back: the store has
-	// just returned from an outage.
-	Lapsed bool
+	// just returned from an outage, at LapsedSince.
+	Lapsed      bool
+	LapsedSince time.Time
 }
 
 // Usable tells whether new work may be sent.
@@ -177,9 +178,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if old := d.byID[id]; old != nil {
-		kept := *old
-		kept.Lapsed = true
-		d.byID[id] = &kept
+		d.byID[id] = old.lapsed()
 		d.publish()
 	}
 }
@@ -198,9 +197,7 @@
 		if next[id] != nil || !keepMissing {
 			continue
 		}
-		kept := *old
-		kept.Lapsed = true
-		next[id] = &kept
+		next[id] = old.lapsed()
 		lapsed = append(lapsed, id)
 	}
 	for id := range d.byID {
@@ -214,12 +211,20 @@
 	return lapsed
 }
 
-// RemoveLapsed drops those of ids whose rows have not come back.
-func (d *Directory) RemoveLapsed(ids []string) (removed []string) {
+// lapsed returns an endpoint whose row is missing as of now.
+func (e *Endpoint) lapsed() *Endpoint {
+	kept := *e
+	kept.Lapsed, kept.LapsedSince = true, clock.Now()
+	return &kept
+}
+
+// RemoveLapsed drops those of ids whose rows have been missing since a time. One whose row was
+// back since, and is missing again after another outage, has its time anew.
+func (d *Directory) RemoveLapsed(ids []string, since time.Time) (removed []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, id := range ids {
-		if e := d.byID[id]; e != nil && e.Lapsed {
+		if e := d.byID[id]; e != nil && e.Lapsed && !e.LapsedSince.After(since) {
 			d.drop(id)
 			removed = append(removed, id)
 		}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -58,14 +59,14 @@
 	}
 	want(t, d, "s", "a", "b", "c")
 	d.Put(registration("a", "s", false)) // its row is back
-	if gone := d.RemoveLapsed(lapsed); len(gone) != 1 || gone[0] != "b" {
+	if gone := d.RemoveLapsed(lapsed, time.Now()); len(gone) != 1 || gone[0] != "b" {
 		t.Errorf("gone: %v", gone)
 	}
 	want(t, d, "s", "a", "c")
 	d.Lapse("a")
 	d.Lapse("unknown")
 	want(t, d, "s", "a", "c")
-	d.RemoveLapsed([]string{"a", "unknown"})
+	d.RemoveLapsed([]string{"a", "unknown"}, time.Now())
 	want(t, d, "s", "c")
 	if lapsed := d.Replace(nil, false); lapsed != nil {
 		t.Errorf("lapsed without an outage: %v", lapsed)
--- a/directory/stepback.go
+++ b/directory/stepback.go
@@ -21,10 +21,10 @@
 
 // StepBack takes in the whole list of a store that has come back from a copy. What was known stands
 // against what the copy says of the same start of an endpoint, and a row of one that has left since
-// does not bring it back: such rows are disputed, and their IDs are returned. They count once the
-// endpoint writes its row again, or with Settle. Endpoints that the copy lacks are marked as lapsed,
-// as with Replace.
-func (d *Directory) StepBack(list []Registration) (lapsed, disputed []string) {
+// does not bring it back: such rows are disputed, and returned. They count once the endpoint writes
+// its row again, or with Settle. Endpoints that the copy lacks are marked as lapsed, as with
+// Replace.
+func (d *Directory) StepBack(list []Registration) (lapsed []string, disputed []Registration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgetDepartures()
@@ -34,7 +34,7 @@
 		listed[r.ID] = true
 		if d.outdated(r) {
 			d.disputed[r.ID] = r
-			disputed = append(disputed, r.ID)
+			disputed = append(disputed, r)
 			continue
 		}
 		d.byID[r.ID] = d.newer(r)
@@ -43,9 +43,7 @@
 		if listed[id] {
 			continue
 		}
-		kept := *old
-		kept.Lapsed = true
-		d.byID[id] = &kept
+		d.byID[id] = old.lapsed()
 		lapsed = append(lapsed, id)
 	}
 	d.publish()
@@ -64,15 +62,16 @@
 	return is && left.born == r.Born
 }
 
-// Settle lets the rows count that are still disputed, and returns their IDs: had the endpoints said
-// otherwise, or gone, the store would know it by now.
-func (d *Directory) Settle(ids []string) (settled []string) {
+// Settle lets those rows count that are still disputed, and returns their IDs: had the endpoints said
+// otherwise, or gone, the store would know it by now. A row of a later step back is another dispute,
+// which has its own time.
+func (d *Directory) Settle(rows []Registration) (settled []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, id := range ids {
-		if r, is := d.disputed[id]; is {
+	for _, row := range rows {
+		if r, is := d.disputed[row.ID]; is && r.Version == row.Version {
 			d.take(r)
-			settled = append(settled, id)
+			settled = append(settled, r.ID)
 		}
 	}
 	d.publish()
--- a/directory/stepback_test.go
+++ b/directory/stepback_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/table"
 )
 
@@ -57,7 +58,7 @@
 			if diff := cmp.Diff(tc.lapsed, lapsed); diff != "" {
 				t.Errorf("lapsed: %s", diff)
 			}
-			if diff := cmp.Diff(tc.disputed, disputed); diff != "" {
+			if diff := cmp.Diff(tc.disputed, idsOf(disputed)); diff != "" {
 				t.Errorf("disputed: %s", diff)
 			}
 			if diff := cmp.Diff(tc.ready, ids(d, "s")); diff != "" {
@@ -109,3 +110,41 @@
 		t.Error("a row is disputed for a departure of long ago")
 	}
 }
+
+func idsOf(rows []Registration) []string {
+	var ids []string
+	for _, r := range rows {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+// The store came back from copies three times within seconds. The end of the first dispute let the
+// rows of the second count, so that an endpoint that had left eight seconds before got work again:
+//
+//	56:07.002 "the copy of the store is older than what is known of endpoints, which stands" i-00000006
+//	56:12.382 "the copy of the store is older than what is known of endpoints, which stands" i-00000006
+//	56:13.292 "endpoints are as the copy of the store says" i-00000006
+//
+// The same held for endpoints that are missing after two outages. Each has its own time.
+func TestEachStepBackHasItsOwnTime(t *testing.T) {
+	d := New(nil)
+	d.Put(Registration{ID: "left", Service: "s", Version: version(t, 1, 10)}, Registration{ID: "joined", Service: "s", Version: version(t, 1, 11)})
+	d.Remove("left")
+	copied := func(epoch uint64) []Registration {
+		return []Registration{{ID: "left", Service: "s", Version: version(t, epoch, 10)}}
+	}
+	lapsed, first := d.StepBack(copied(2))
+	firstLapse := clock.Now()
+	d.Put(Registration{ID: "joined", Service: "s", Version: version(t, 2, 11)})
+	time.Sleep(time.Millisecond)
+	_, second := d.StepBack(copied(3))
+	d.Settle(first)
+	if removed := d.RemoveLapsed(lapsed, firstLapse); len(removed) != 0 {
+		t.Errorf("removed for the first step back: %v", removed)
+	}
+	want(t, d, "s", "joined")
+	d.Settle(second)
+	d.RemoveLapsed(lapsed, clock.Now())
+	want(t, d, "s", "left")
+}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -50,7 +50,8 @@
 			malformed = append(malformed, row.Key.Row)
 		}
 	}
-	var lapsed, disputed []string
+	var lapsed []string
+	var disputed []directory.Registration
 	if l.NewEpoch {
 		lapsed, disputed = g.directory.StepBack(list)
 	} else {
@@ -132,19 +133,31 @@
 	return r, err == nil
 }
 
-// disputeFor is how long what a copy of the store says against what is known does not count. An
-// endpoint that lives writes its row again within a second or so, and the store drops the row of
-// one that does not after three such times.
-const disputeFor = 6 * time.Second
+// disputeBeats is for how many heartbeats of endpoints what a copy of the store says against what is
+// known does not count. One that lives writes its row again within one, and the store drops the
+// row of one that does not after three; the rest is for a store and for news that are slow.
+const disputeBeats = 5
 
 // dispute lets rows of a copy count that are older than what was known, once the endpoints had the
 // time to write theirs again.
-func (g *Gateway) dispute(ids []string) {
-	if len(ids) == 0 {
+func (g *Gateway) dispute(rows []directory.Registration) {
+	if len(rows) == 0 {
 		return
 	}
-	klog.InfoS("gateway: the copy of the store is older than what is known of endpoints, which stands", "endpoints", ids)
-	later(disputeFor, ids, g.directory.Settle, "gateway: endpoints are as the copy of the store says")
+	klog.InfoS("gateway: the copy of the store is older than what is known of endpoints, which stands", "endpoints", idsOf(rows))
+	time.AfterFunc(disputeBeats*g.settings.EndpointHeartbeat, func() {
+		if settled := g.directory.Settle(rows); len(settled) > 0 {
+			klog.InfoS("gateway: endpoints are as the copy of the store says", "endpoints", settled)
+		}
+	})
+}
+
+func idsOf(rows []directory.Registration) []string {
+	ids := make([]string, len(rows))
+	for i, r := range rows {
+		ids[i] = r.ID
+	}
+	return ids
 }
 
 // lapse drops endpoints once they had the time to write their rows again.
@@ -153,14 +166,10 @@
 		return
 	}
 	klog.InfoS("gateway: endpoints missing after an outage, used a little longer", "endpoints", ids)
-	later(lapseGrace, ids, g.directory.RemoveLapsed, "gateway: endpoints gone")
-}
-
-// later takes a step on endpoints some time from now, and tells which of them it concerned.
-func later(after time.Duration, ids []string, step func([]string) []string, told string) {
-	time.AfterFunc(after, func() {
-		if concerned := step(ids); len(concerned) > 0 {
-			klog.InfoS(told, "endpoints", concerned)
+	since := clock.Now()
+	time.AfterFunc(lapseGrace, func() {
+		if gone := g.directory.RemoveLapsed(ids, since); len(gone) > 0 {
+			klog.InfoS("gateway: endpoints gone", "endpoints", gone)
 		}
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,9 @@
 	// ContactWithin is the time within which a VM that was out of touch must know what the
 	// others do.
 	ContactWithin time.Duration
+	// EndpointHeartbeat is the mean time after which an endpoint writes its row again. The store
+	// drops the row of one that has missed three.
+	EndpointHeartbeat time.Duration
 	// Lease is how long after an order of one VM to an engine no other VM may
 	// order it.
 	Lease time.Duration
--- a/roster/epoch_test.go
+++ b/roster/epoch_test.go
@@ -129,3 +129,26 @@
 		}
 	})
 }
+
+// A VM whose row the store loses twice within seconds counts all the while.
+func TestRowLostTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := memtable.New()
+		r, stop := start(t, rows, "v1")
+		defer stop()
+		time.Sleep(time.Second)
+		copied := rows.Copy()
+		_, stopOther := start(t, rows, "v2")
+		defer stopOther()
+		time.Sleep(checkPeriod)
+		rows.ComeBack(copied)
+		time.Sleep(rewriteGrace - 500*time.Millisecond)
+		rows.ComeBack(copied)
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if got := names(r); got != "v2" {
+				t.Fatalf("%q are known", got)
+			}
+		}
+	})
+}
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -62,20 +62,26 @@
 // keepLost keeps the VMs that a copy of the store lacks, for a while. The caller holds mu.
 func (r *Roster) keepLost(known map[string]VM, own bool) {
 	var lost []string
+	now := clock.Now()
 	for name, vm := range known {
 		if _, listed := r.others[name]; !listed {
-			r.others[name] = vm
+			r.others[name], r.lost[name] = vm, now
 			lost = append(lost, name)
 		}
 	}
 	klog.InfoS("roster: the store has come back from a copy", "vms", len(r.others), "kept", lost, "ownRowLost", !own)
-	time.AfterFunc(rewriteGrace, func() { r.forgetLost(lost) })
+	time.AfterFunc(rewriteGrace, func() { r.forgetLost(lost, now) })
 }
 
-// forgetLost drops VMs that have not written their rows again.
-func (r *Roster) forgetLost(names []string) {
+// forgetLost drops VMs whose rows were lost at a time and have not been written again. One whose row
+// was lost once more since has its time anew.
+func (r *Roster) forgetLost(names []string, since time.Time) {
 	r.mu.Lock()
 	for _, name := range names {
+		if r.lost[name].After(since) {
+			continue
+		}
+		delete(r.lost, name)
 		if _, there := r.sightings[name]; !there {
 			delete(r.others, name)
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -73,11 +73,13 @@
 	// listed is closed once the table was read.
 	listed   chan struct{}
 	listOnce sync.Once
-	// lost holds an element when the own row is to be written again soon.
-	lost chan struct{}
+	// ownLost holds an element when the own row is to be written again soon.
+	ownLost chan struct{}
 
 	mu     sync.Mutex
 	others map[string]VM
+	// lost are the VMs that count although the store has lost their rows, and since when.
+	lost map[string]time.Time
 	// written is when the own row was last written.
 	written time.Time
 	// sightings are the rows as they stand, and since when each does.
@@ -97,7 +99,7 @@
 	return &Roster{
 		rows: rows, feed: feed, self: self, onChange: onChange, others: map[string]VM{},
 		sightings: map[string]sighting{}, stale: staleAfter + rand.N(refreshPeriod), listed: make(chan struct{}),
-		lost: make(chan struct{}, 1),
+		ownLost: make(chan struct{}, 1), lost: map[string]time.Time{},
 	}
 }
 
@@ -136,7 +138,7 @@
 		return false
 	case <-timer.C:
 		return true
-	case <-r.lost:
+	case <-r.ownLost:
 		return loop.Sleep(ctx, rand.N(rewriteWithin))
 	}
 }
@@ -145,7 +147,7 @@
 func (r *Roster) rewrite() {
 	r.written = time.Time{}
 	select {
-	case r.lost <- struct{}{}:
+	case r.ownLost <- struct{}{}:
 	default: // it is under way
 	}
 }
