--- a/feedshare/suspension_test.go
+++ b/feedshare/suspension_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,14 +13,14 @@
 // A VM that was suspended does not pass its table on as the store's until the store has
 // answered it again.
 func TestSuspendedReaderIsNotBelieved(t *testing.T) {
-	var suspended time.Duration
-	defer clock.Simulate(func() time.Duration { return suspended })()
+	var suspended atomic.Int64 // nanoseconds
+	defer clock.Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 	c := newCache(2 * time.Second)
 	c.reset([]table.Row{{Key: table.Key{Table: "t", Row: "r"}, Version: 1}}, 1, clock.Now())
 	if _, _, err := c.list(t.Context(), "t"); err != nil {
 		t.Fatalf("fresh: %v", err)
 	}
-	suspended = 5 * time.Second
+	suspended.Store(int64(5 * time.Second))
 	var refused *NotReaderError
 	if _, _, err := c.list(t.Context(), "t"); !errors.As(err, &refused) {
 		t.Errorf("after a suspension of 5 s the table is passed on: %v", err)
--- a/lease/suspension_test.go
+++ b/lease/suspension_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,14 +15,14 @@
 // would have given orders for as long as was left when the VM was suspended.
 func TestSuspendedHolderHasNoAuthority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var suspended time.Duration
-		defer clock.Simulate(func() time.Duration { return suspended })()
+		var suspended atomic.Int64 // nanoseconds
+		defer clock.Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 		a := start(t, memtable.New(), "a", 0)
 		time.Sleep(2 * a.holder.cfg.Poll)
 		if !a.holds() {
 			t.Fatal("the lease is not taken")
 		}
-		suspended = a.holder.cfg.TTL + time.Second
+		suspended.Store(int64(a.holder.cfg.TTL + time.Second))
 		if a.holds() {
 			t.Error("the holder may act although its lease has run out while it was suspended")
 		}
--- a/retry/suspension_test.go
+++ b/retry/suspension_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,8 +10,8 @@
 
 // A VM that was suspended for longer than the window starts with all retries of a new one.
 func TestWindowAfterASuspension(t *testing.T) {
-	var suspended time.Duration
-	defer clock.Simulate(func() time.Duration { return suspended })()
+	var suspended atomic.Int64 // nanoseconds
+	defer clock.Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 	w := NewWindow(WindowLimits{Span: 10 * time.Second, Extra: 3}, nil)
 	for range 3 {
 		w.Take()
@@ -18,7 +19,7 @@
 	if w.Take() {
 		t.Error("a fourth retry in one window")
 	}
-	suspended = 12 * time.Second
+	suspended.Store(int64(12 * time.Second))
 	if !w.Take() {
 		t.Error("no retry 12 s after the last ones")
 	}
