Keep what a later listing, or a late write, would undo after a step back of the store

Found in reading the change again, each with a test that fails without it:

- A table that is listed once more within an epoch, as when a VM turns to another reader of its zone, let all rows that were disputed count at once: an endpoint that had left would have got work again.
Disputed rows stay so.
A tenure belongs to the epoch in which it was decided on.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -185,12 +185,20 @@
 
 // Replace takes in a whole list. An endpoint that it lacks is dropped, unless
 // keepMissing is set: then it is marked as lapsed, its IDs are returned, and it
-// stays until a later Put, Remove or Replace.
+// stays until a later Put, Remove or Replace. A row that is disputed since a step back stays so.
 func (d *Directory) Replace(list []Registration, keepMissing bool) (lapsed []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := make(map[string]*Endpoint, len(list))
+	disputed := map[string]Registration{}
 	for _, r := range list {
+		if d.isDisputed(r) {
+			disputed[r.ID] = r
+			if known := d.byID[r.ID]; known != nil {
+				next[r.ID] = known
+			}
+			continue
+		}
 		next[r.ID] = d.newer(r)
 	}
 	for id, old := range d.byID {
@@ -205,8 +213,7 @@
 			d.drop(id)
 		}
 	}
-	clear(d.disputed)
-	d.byID = next
+	d.byID, d.disputed = next, disputed
 	d.publish()
 	return lapsed
 }
--- a/directory/stepback.go
+++ b/directory/stepback.go
@@ -62,6 +62,12 @@
 	return is && left.born == r.Born
 }
 
+// isDisputed tells whether a row is one that does not count yet. The caller holds mu.
+func (d *Directory) isDisputed(r Registration) bool {
+	known, is := d.disputed[r.ID]
+	return is && known.Version == r.Version
+}
+
 // Settle lets those rows count that are still disputed, and returns their IDs: had the endpoints said
 // otherwise, or gone, the store would know it by now. A row of a later step back is another dispute,
 // which has its own time.
--- a/directory/stepback_test.go
+++ b/directory/stepback_test.go
@@ -148,3 +148,25 @@
 	d.RemoveLapsed(lapsed, clock.Now())
 	want(t, d, "s", "left")
 }
+
+// The table is listed once more before a dispute is over, as when a VM turns to another reader: what is
+// disputed stays so.
+func TestDisputeOutlastsAListing(t *testing.T) {
+	d := New(nil)
+	d.Put(Registration{ID: "leaving", Service: "s", Version: version(t, 1, 10)}, Registration{ID: "gone", Service: "s", Version: version(t, 1, 11)})
+	d.Put(Registration{ID: "leaving", Service: "s", Version: version(t, 1, 20), Draining: true})
+	d.Remove("gone")
+	rows := []Registration{{ID: "leaving", Service: "s", Version: version(t, 2, 10)}, {ID: "gone", Service: "s", Version: version(t, 2, 11)}}
+	_, disputed := d.StepBack(rows)
+	d.Replace(rows, false)
+	want(t, d, "s")
+	if e := d.Snapshot().Endpoint("leaving"); e == nil || !e.Draining {
+		t.Errorf("the endpoint that leaves is %+v", e)
+	}
+	again := rows[1]
+	again.Version = version(t, 2, 30)
+	d.Replace([]Registration{rows[0], again}, false)
+	want(t, d, "s", "gone")
+	d.Settle(disputed)
+	want(t, d, "s", "gone", "leaving")
+}
--- a/lease/epoch_test.go
+++ b/lease/epoch_test.go
@@ -16,6 +16,10 @@
 type view struct {
 	*memtable.Table
 
+	// held, if set, is how long the first write takes to come into effect. The process is cut off
+	// from then on.
+	held time.Duration
+
 	mu    sync.Mutex
 	cut   bool
 	epoch uint64
@@ -61,6 +65,12 @@
 	if v.isCut() {
 		return nil, v.answered(nil)
 	}
+	if v.held > 0 {
+		time.AfterFunc(v.held, func() { _, _ = v.Table.Commit(context.Background(), txn) })
+		v.held = 0
+		v.setCut(true)
+		return nil, &table.UnknownError{Cause: context.DeadlineExceeded}
+	}
 	versions, err := v.Table.Commit(ctx, txn)
 	return versions, v.answered(err)
 }
@@ -181,3 +191,33 @@
 		})
 	}
 }
+
+// A process finds no lease and writes its own. The write comes into effect only seconds later, when
+// another process has taken the lease and the table service has lost that again. Its condition holds
+// then, and the process must not take it for a tenure.
+func TestWriteThatOutlivesAnEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := memtable.New()
+		m.ComeBack(m.Copy())
+		empty := m.Copy()
+		slow, other := &view{Table: m, held: 3 * time.Second}, &view{Table: m}
+		c := startSeeing(t, slow, "slow")
+		until(t, "the write that is held up", slow.isCut)
+		other.epoch = m.Epoch()
+		h := NewHolder(other, Config{Pool: "chat", Zone: "a", Self: Identity{VM: "other", Process: "other"}, Epoch: other.Epoch})
+		l, err := h.take(t.Context(), table.Row{}, Record{}, m.Epoch())
+		if err != nil {
+			t.Fatal(err)
+		}
+		other.setCut(true)
+		m.ComeBack(empty)
+		time.Sleep(4 * time.Second) // the write has come into effect
+		slow.setCut(false)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if now := c.current(); c.holds() && now.Fence() <= l.Fence() {
+				t.Fatalf("a tenure with fencing number %d after %d", now.Fence(), l.Fence())
+			}
+		}
+	})
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -98,22 +98,24 @@
 	}
 	now := clock.Now()
 	obs.see(row.Version, now)
-	obs.seeEpoch(h.cfg.epoch(), now)
+	epoch := h.cfg.epoch()
+	obs.seeEpoch(epoch, now)
 	if wait := takeoverWait(row, rec, *obs, h.cfg.TTL, now); wait > 0 {
 		return nil, wait, nil
 	}
-	l, err := h.take(ctx, row, rec)
+	l, err := h.take(ctx, row, rec, epoch)
 	return l, 0, err
 }
 
-// take writes the next tenure over row. The fence rises above that of any
+// take writes the next tenure over row, as decided in an epoch of the table service. The fence rises above that of any
 // earlier tenure, because the row is never deleted.
-func (h *Holder) take(ctx context.Context, row table.Row, old Record) (*Lease, error) {
+func (h *Holder) take(ctx context.Context, row table.Row, old Record, epoch uint64) (*Lease, error) {
 	l := &Lease{
 		svc:   h.svc,
 		cfg:   h.cfg,
-		fence: max(old.Fence, h.floor.Load(), epochFence(h.cfg.epoch())) + 1,
+		fence: max(old.Fence, h.floor.Load(), epochFence(epoch)) + 1,
 		first: row.Version == table.Absent,
+		epoch: epoch,
 		lost:  make(chan struct{}),
 	}
 	sent := clock.Now()
@@ -238,7 +240,7 @@
 		Holder:    l.cfg.Self,
 		Fence:     l.fence,
 		TTLMillis: l.cfg.TTL.Milliseconds(),
-		Epoch:     l.cfg.epoch(),
+		Epoch:     l.epoch,
 	}
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -18,6 +18,8 @@
 	cfg   Config
 	fence uint64
 	first bool
+	// epoch is that of the table service in which the tenure began: it does not outlast it.
+	epoch uint64
 
 	// mu guards the fields below. No call is made while it is held.
 	mu       sync.Mutex
@@ -61,8 +63,9 @@
 	case l.loss != "":
 	case clock.Until(l.deadline) <= 0:
 		l.loseLocked(Expired)
-	case l.version.Epoch() != l.cfg.epoch():
-		// The table service may have lost this tenure, and let another process begin one.
+	case l.version.Epoch() != l.epoch || l.cfg.epoch() != l.epoch:
+		// The table service may have lost this tenure, and let another process begin one; or the
+		// write that began it came into effect only after the service had lost what was decided on.
 		l.loseLocked(EpochOver)
 	}
 	if l.loss != "" {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -146,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		svc := memtable.New()
 		h := NewHolder(svc, Config{Pool: "chat", Zone: "a", Self: Identity{Process: "old"}})
-		old, err := h.take(t.Context(), table.Row{}, Record{})
+		old, err := h.take(t.Context(), table.Row{}, Record{}, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -166,7 +166,7 @@
 		successor := NewHolder(svc, Config{Pool: "chat", Zone: "a", Self: Identity{Process: "new"}})
 		rows, _ := svc.Get(t.Context(), Key("chat", "a"))
 		rec, _ := Decode(rows[0])
-		if _, err := successor.take(t.Context(), rows[0], rec); err != nil {
+		if _, err := successor.take(t.Context(), rows[0], rec, 0); err != nil {
 			t.Fatal(err)
 		}
 		var lost *LostError
