Write lost rows again within two seconds, also after the longest pause before asking

How long the VMs spread their writes now goes by the rows that are missing, 4 ms for each and 1.2 s at the most; verdicts by 0.6 s.

--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -36,7 +36,7 @@
 	callTimeout = time.Second
 	// rewriteWithin is the time over which the VMs spread the writing of rows that the store has
 	// lost. The first that writes one spares the others.
-	rewriteWithin = 1500 * time.Millisecond
+	rewriteWithin = 600 * time.Millisecond
 	// droppedMemory is how long it is remembered which rows were removed: a copy of the store that
 	// still holds them is some seconds old.
 	droppedMemory = time.Minute
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -43,11 +43,12 @@
 		r.see(row, before[row.Key.Row])
 		own = own || r.isOwn(row)
 	}
-	if !own {
-		r.rewrite() // the others take this VM for gone, or for an earlier start of it
-	}
+	lost := 0
 	if newEpoch {
-		r.keepLost(known, own)
+		lost = r.keepLost(known, own)
+	}
+	if !own {
+		r.rewrite(lost + 1) // the others take this VM for gone, or for an earlier start of it
 	}
 	r.mu.Unlock()
 	r.onChange(r.Others())
@@ -59,8 +60,9 @@
 	return row.Key.Row == r.self.Name && json.Unmarshal(row.Value, &vm) == nil && vm == r.self
 }
 
-// keepLost keeps the VMs that a copy of the store lacks, for a while. The caller holds mu.
-func (r *Roster) keepLost(known map[string]VM, own bool) {
+// keepLost keeps the VMs that a copy of the store lacks, for a while, and returns their number. The
+// caller holds mu.
+func (r *Roster) keepLost(known map[string]VM, own bool) int {
 	var lost []string
 	now := clock.Now()
 	for name, vm := range known {
@@ -71,6 +73,7 @@
 	}
 	klog.InfoS("roster: the store has come back from a copy", "vms", len(r.others), "kept", lost, "ownRowLost", !own)
 	time.AfterFunc(rewriteGrace, func() { r.forgetLost(lost, now) })
+	return len(lost)
 }
 
 // forgetLost drops VMs whose rows were lost at a time and have not been written again. One whose row
@@ -102,7 +105,7 @@
 		delete(r.others, name)
 		delete(r.sightings, name)
 		if name == r.self.Name {
-			r.rewrite()
+			r.rewrite(1)
 		}
 	}
 	r.mu.Unlock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -37,9 +37,10 @@
 	staleAfter    = 3 * refreshPeriod
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
-	// rewriteWithin is the time over which the VMs spread the writing of rows that the store has
-	// lost: hundreds at once are more than it takes.
-	rewriteWithin = 1500 * time.Millisecond
+	// rewriteSpacing is the time for each row that the store has lost, over which the VMs spread
+	// their writes: hundreds at once are more than it takes. rewriteWithin bounds it.
+	rewriteSpacing = 4 * time.Millisecond
+	rewriteWithin  = 1200 * time.Millisecond
 	// rewriteGrace is how long a VM counts whose row the store has lost. All are back within
 	// two seconds, if their VMs live.
 	rewriteGrace = 4 * time.Second
@@ -73,8 +74,8 @@
 	// listed is closed once the table was read.
 	listed   chan struct{}
 	listOnce sync.Once
-	// ownLost holds an element when the own row is to be written again soon.
-	ownLost chan struct{}
+	// ownLost holds an element when the own row is to be written again: the time within which.
+	ownLost chan time.Duration
 
 	mu     sync.Mutex
 	others map[string]VM
@@ -99,7 +100,7 @@
 	return &Roster{
 		rows: rows, feed: feed, self: self, onChange: onChange, others: map[string]VM{},
 		sightings: map[string]sighting{}, stale: staleAfter + rand.N(refreshPeriod), listed: make(chan struct{}),
-		ownLost: make(chan struct{}, 1), lost: map[string]time.Time{},
+		ownLost: make(chan time.Duration, 1), lost: map[string]time.Time{},
 	}
 }
 
@@ -138,16 +139,16 @@
 		return false
 	case <-timer.C:
 		return true
-	case <-r.ownLost:
-		return loop.Sleep(ctx, rand.N(rewriteWithin))
+	case within := <-r.ownLost:
+		return loop.Sleep(ctx, rand.N(within))
 	}
 }
 
-// rewrite has the own row written again soon. The caller holds mu.
-func (r *Roster) rewrite() {
+// rewrite has the own row written again, as one of so many. The caller holds mu.
+func (r *Roster) rewrite(rows int) {
 	r.written = time.Time{}
 	select {
-	case r.ownLost <- struct{}{}:
+	case r.ownLost <- min(time.Duration(rows)*rewriteSpacing, rewriteWithin):
 	default: // it is under way
 	}
 }
