Forget departures of endpoints also without a step back of the store

Read in the change once more: what the directory remembers of endpoints that are gone was forgotten only when the store came back from a copy, so that it grew with each endpoint for as long as a process ran. Removed: a departure's version, which nothing read, and the budget's total, which only its test used.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -168,7 +168,7 @@
 func (d *Directory) drop(id string) {
 	delete(d.disputed, id)
 	if e := d.byID[id]; e != nil {
-		d.departed[id] = departure{born: e.Born, version: e.Version, at: clock.Now()}
+		d.departed[id] = departure{born: e.Born, at: clock.Now()}
 	}
 	delete(d.byID, id)
 }
@@ -242,6 +242,7 @@
 
 // publish makes the next snapshot. The caller holds mu.
 func (d *Directory) publish() {
+	d.forgetDepartures()
 	s := &Snapshot{byID: make(map[string]*Endpoint, len(d.byID)), byService: map[string][]*Endpoint{}, inZone: map[string]int{}}
 	for id, e := range d.byID {
 		s.byID[id] = e
--- a/directory/stepback.go
+++ b/directory/stepback.go
@@ -5,14 +5,12 @@
 	"time"
 
 	"github.com/springweir/springweir/internal/clock"
-	"github.com/springweir/springweir/table"
 )
 
 // departure is an endpoint that was dropped.
 type departure struct {
-	born    int64
-	version table.Version
-	at      time.Time
+	born int64
+	at   time.Time
 }
 
 // departureMemory is how long departures are remembered: longer than a copy of the store is old,
@@ -27,7 +25,7 @@
 func (d *Directory) StepBack(list []Registration) (lapsed []string, disputed []Registration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forgetDepartures()
+	d.forgetDepartures() // before they decide
 	clear(d.disputed)
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
@@ -84,6 +82,7 @@
 	return settled
 }
 
+// forgetDepartures keeps the departures to those of the last while. The caller holds mu.
 func (d *Directory) forgetDepartures() {
 	maps.DeleteFunc(d.departed, func(_ string, left departure) bool { return clock.Since(left.at) > departureMemory })
 }
--- a/directory/stepback_test.go
+++ b/directory/stepback_test.go
@@ -1,7 +1,9 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -170,3 +172,20 @@
 	d.Settle(disputed)
 	want(t, d, "s", "gone", "leaving")
 }
+
+// Endpoints come and go for as long as the process runs, also without any step back: what is
+// remembered of them does not grow.
+func TestDeparturesDoNotGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(nil)
+		for n := range 1000 {
+			id := fmt.Sprint("e", n)
+			d.Put(Registration{ID: id, Service: "s"})
+			d.Remove(id)
+			time.Sleep(time.Second)
+		}
+		if n := len(d.departed); n > 2*int(departureMemory/time.Second) {
+			t.Errorf("%d departures are remembered", n)
+		}
+	})
+}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -40,6 +40,3 @@
 	b.gather = max(0, min(within/gatherPart, within-b.reader-b.store-b.write))
 	return b
 }
-
-// total is the longest time that the parts add up to.
-func (b drainBudget) total() time.Duration { return b.gather + b.reader + b.store + b.write }
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -20,7 +20,7 @@
 		if b.gather != tc.gather {
 			t.Errorf("of %v, %v are for gathering, want %v", tc.within, b.gather, tc.gather)
 		}
-		if left := tc.within - b.total(); left < tc.reserve {
+		if left := tc.within - (b.gather + b.reader + b.store + b.write); left < tc.reserve {
 			t.Errorf("of %v, %v are left, want %v", tc.within, left, tc.reserve)
 		}
 	}
