Know callers' organisations by their keys, and accept keys only by fresh knowledge

Cause: nothing outside tests knew of keys.

Keys: package organisation finds an organisation by a digest; the adapter puts digests in the place of keys as the operators' row comes from the store, so that none is kept or passed between VMs. 401 with key-missing, key-malformed or key-unknown; open routes identify nobody. What a caller claims to be is dropped on every route. The last look before a send takes in the key, on each leg and for a stream that goes on; a caller's organisation is ranked before its route.

Freshness: a VM that nobody can tell must stop accepting keys by itself. Package freshness holds confirmations, each dated to when the question to the store was sent. The VMs ask in the order of their ranks once knowledge is a fifth of the bound old, so that one asks for all, and the next one if that one cannot. Confirmations travel in the datagrams that VMs exchange anyway: each carries a stamp of its sender, and a confirmation counts only with an echo of an own stamp, by which it is dated. No clock is compared with another VM's, and no delay or suspension makes knowledge look younger. Ruled out: longer-lived tables from the zone's reader alone (4 s old at the worst of 5), and short questions of each VM (83 a second).

Proof: a search over all orders of ask, answer, stamp, tell, delay and loss on the code that serves (freshness.TestNoOrderOfStepsKeepsAKeyAlive), which also finds three faults put in; gateways before a store that is busy, silent or resets; a VM that loses the store and lives by another.

Also: loadshare's tests picked addresses among the kernel's ephemeral ports, and one was taken by another test before its use (TestNewsReachesAll failed once).

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -10,6 +10,12 @@
 	BadRequest Reason = "bad-request"
 	// Unauthorised is a missing or unknown API key.
 	Unauthorised Reason = "unauthorised"
+	// KeyMissing is a request without an API key where one is needed.
+	KeyMissing Reason = "key-missing"
+	// KeyMalformed is a request whose API key cannot be read, or that sends several.
+	KeyMalformed Reason = "key-malformed"
+	// KeyUnknown is an API key that no organisation has, or has any more.
+	KeyUnknown Reason = "key-unknown"
 	// NotAllowed is a model, service or priority that the organisation may not use.
 	NotAllowed Reason = "not-allowed"
 	// NoSuchModel is a model that no pool serves.
@@ -148,6 +154,9 @@
 var statusByReason = map[Reason]int{
 	BadRequest:          http.StatusBadRequest,
 	Unauthorised:        http.StatusUnauthorized,
+	KeyMissing:          http.StatusUnauthorized,
+	KeyMalformed:        http.StatusUnauthorized,
+	KeyUnknown:          http.StatusUnauthorized,
 	NotAllowed:          http.StatusForbidden,
 	NoSuchModel:         http.StatusNotFound,
 	NoSuchService:       http.StatusNotFound,
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -18,6 +18,13 @@
 
 var _ table.Feed = (*Source)(nil)
 
+// Confirmed returns when the last question was asked that the store itself answered, or zero: all
+// that was acknowledged before that is known here. Only the follower may call it.
+func (s *Source) Confirmed() time.Time { return s.current }
+
+// Version is that of what was last read, from wherever.
+func (s *Source) Version() table.Version { return s.cache.at() }
+
 // fromStore stands for the store where sources are named.
 const fromStore = "store"
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -6,26 +6,39 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/freshness"
 	"github.com/springweir/springweir/table"
 )
 
+// storedConfig is what the store told of the configuration, all of which has been taken in.
+type storedConfig struct {
+	// at is the version of the table, version that of the configuration; zero if that was not
+	// understood, or is not there.
+	at      table.Version
+	version uint64
+}
+
 // followConfig puts each new configuration in force.
 func (g *Gateway) followConfig(ctx context.Context) {
+	version := uint64(0)
 	f := &table.Follower{
 		Feed:  g.configs,
 		Table: g.platform.Config.Table,
 		OnList: func(rows []table.Row, _ table.Listing) {
+			version = 0
 			for _, row := range rows {
-				g.takeConfig(row)
+				version = g.takeConfigChange(table.Change{Row: row}, version)
 			}
 		},
 		OnChanges: func(changes []table.Change, _ bool) {
 			for _, c := range changes {
-				if !c.Deleted {
-					g.takeConfig(c.Row)
-				}
+				version = g.takeConfigChange(c, version)
 			}
 		},
+		OnAnswered: func() {
+			g.stored.Store(&storedConfig{at: g.configs.Version(), version: version})
+			g.confirmConfig(version, g.configs.Confirmed())
+		},
 		OnLost: func(err error) {
 			g.state.configLost.Store(time.Now().UnixNano())
 			klog.InfoS("gateway: configuration cannot be followed", "err", err)
@@ -38,18 +51,38 @@
 	f.Run(ctx)
 }
 
-// takeConfig puts a configuration in force. A row that cannot be understood
-// leaves the present one.
-func (g *Gateway) takeConfig(row table.Row) {
-	if row.Key != g.platform.Config {
-		return
+// takeConfigChange takes in a change of the operators' table. It returns the version of the
+// configuration that the store holds after it, given the one before; zero if it holds none that is
+// understood.
+func (g *Gateway) takeConfigChange(c table.Change, before uint64) uint64 {
+	switch {
+	case c.Row.Key != g.platform.Config:
+		return before
+	case c.Deleted:
+		return 0
 	}
+	return g.takeConfig(c.Row)
+}
+
+// takeConfig puts a configuration in force, unless it is older than the present one, and returns its
+// version. A row that cannot be understood leaves the present one, and has version zero.
+func (g *Gateway) takeConfig(row table.Row) uint64 {
 	c, err := g.platform.DecodeConfig(row)
 	if err != nil {
 		klog.ErrorS(err, "gateway: configuration not understood, the present one stays")
-		return
+		return 0
 	}
 	if g.state.setConfig(c) {
-		klog.InfoS("gateway: configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+		g.freshness.InForce(c.Version)
+		klog.InfoS("gateway: configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "organisations", c.Organisations.Len())
+	}
+	return c.Version
+}
+
+// confirmConfig notes that the store held a version at a moment, once that has been taken in. A
+// configuration that is not understood confirms nothing: it may have taken keys away.
+func (g *Gateway) confirmConfig(version uint64, at time.Time) {
+	if version != 0 && !at.IsZero() {
+		g.freshness.Confirm(freshness.Confirmation{Version: version, At: at})
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -12,6 +13,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/feedshare"
+	"github.com/springweir/springweir/freshness"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
@@ -49,6 +51,9 @@
 	// ContactWithin is the time within which a VM that was out of touch must know what the
 	// others do.
 	ContactWithin time.Duration
+	// RevokeWithin is the time within which an API key that was taken away must no longer be
+	// accepted, also by a VM that nobody can reach; zero is no bound for such a VM.
+	RevokeWithin time.Duration
 	// EndpointHeartbeat is the mean time after which an endpoint writes its row again. The store
 	// drops the row of one that has missed three.
 	EndpointHeartbeat time.Duration
@@ -100,15 +105,19 @@
 	relay     *relay.Relay
 	roster    *roster.Roster
 	exchange  *loadshare.Exchange
+	freshness *freshness.Tracker
 	roles     *rolechange.Keeper
 	guard     *poison.Guard
 	// configs, endpoints and vms are where the tables are read from.
 	configs, endpoints, vms, verdicts *feedshare.Source
+	// stored is the configuration as the store last told it, nil before it did.
+	stored atomic.Pointer[storedConfig]
 }
 
 // New returns a gateway that has done nothing yet.
 func New(s Settings, p Platform, n network.Network) *Gateway {
-	g := &Gateway{settings: s, platform: p, network: n, state: &state{}, started: time.Now()}
+	g := &Gateway{settings: s, platform: p, network: n, started: time.Now(), freshness: freshness.New(nil)}
+	g.state = &state{freshness: g.freshness, revoke: newRevokeBudget(s.RevokeWithin), applyWithin: s.ApplyWithin}
 	g.directory = directory.New(g.setEndpoints)
 	g.planner = placement.New(placement.Config{
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
@@ -118,7 +127,7 @@
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Boot: roster.NewBoot()}
 	g.newSources()
 	g.roster = roster.New(p.Rows, g.vms, self, g.setPeers)
-	g.exchange = loadshare.New(loadshare.Config{VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond, Own: g.planner.Own, Heard: g.heard, News: func(n loadshare.News) { g.guard.Heard(n) }})
+	g.exchange = loadshare.New(g.exchangeConfig())
 	g.roles = rolechange.New(rolechange.Config{
 		VM: s.VM, Rows: p.Rows, Epoch: p.Epoch, Directory: g.directory, Services: g.state.config.Load,
 		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Lease: s.Lease, Rank: g.roster.Rank, Announce: g.exchange.Spread,
@@ -133,6 +142,20 @@
 	return g
 }
 
+// exchangeConfig is what the VMs' exchange of datagrams works with. Confirmations go with them only
+// where knowledge must not be older than a bound.
+func (g *Gateway) exchangeConfig() loadshare.Config {
+	s := g.settings
+	c := loadshare.Config{
+		VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond,
+		Own: g.planner.Own, Heard: g.heard, News: func(n loadshare.News) { g.guard.Heard(n) },
+	}
+	if g.state.revoke.bounded() {
+		c.Confirmation, c.Confirmed = g.freshness.Newest, g.freshness.Confirm
+	}
+	return c
+}
+
 // setEndpoints takes in a new picture of the endpoints. Connections to a start that is
 // over are closed at once: they may look open, and a request sent on one is lost.
 func (g *Gateway) setEndpoints(old, now *directory.Snapshot) {
@@ -190,6 +213,7 @@
 		group.Go(func() error { return g.serve(counters, g.settings.Metrics) })
 	}
 	group.Go(func() error { g.awaitPeers(work); g.followConfig(work); return nil })
+	group.Go(func() error { g.keepFresh(work); return nil })
 	group.Go(func() error { g.awaitPeers(work); g.followEndpoints(work); return nil })
 	group.Go(func() error { g.forgetEndpoints(work); return nil })
 	group.Go(func() error { clock.Watch(work); return nil })
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -18,6 +18,7 @@
 
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/prompt"
 	"github.com/springweir/springweir/relay"
 )
@@ -33,6 +34,10 @@
 	HeldEvents int
 	// Prompt is set for a generation.
 	Prompt *prompt.Prompt
+	// Credential is what the caller shows of who it is, and Authorization the header's values
+	// that say so, which Header lacks.
+	Credential    organisation.Credential
+	Authorization []string
 }
 
 // Codec translates between HTTP requests of callers and the gateway.
@@ -81,15 +86,19 @@
 	if route == nil {
 		return nil, h.state.unrouted()
 	}
+	who, failed := h.state.identify(config, route, call.Credential)
+	if failed != nil {
+		return nil, failed
+	}
 	body, failed := readBody(w, r, config.Limits.BodyBytes)
 	if failed != nil {
 		return nil, failed
 	}
 	req := &relay.Request{
 		ID: call.ID, Method: r.Method, Target: target(r), Host: r.Host,
-		Header: call.Header, Body: body, HasBody: r.ContentLength != 0,
+		Header: call.passedOn(config), Body: body, HasBody: r.ContentLength != 0,
 		Caller: withoutPort(r.RemoteAddr), Received: began, Config: config, Route: route, Service: route.Service(rand.Float64()),
-		Prompt: call.Prompt, HeldEvents: call.HeldEvents,
+		Credential: call.Credential, Organisation: who, Prompt: call.Prompt, HeldEvents: call.HeldEvents,
 	}
 	if limit := sooner(call.Patience, route.Timeout); limit > 0 {
 		req.Deadline = began.Add(limit)
--- a/gateway/reroute.go
+++ b/gateway/reroute.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/routes"
 )
@@ -20,14 +21,49 @@
 	if route == nil {
 		return r, s.unrouted()
 	}
-	if route.Kind == r.Route.Kind && route.SendsTo(r.Service) {
+	who, failed := s.identify(config, route, r.Credential)
+	if failed != nil {
+		return r, failed
+	}
+	moved := route.Kind != r.Route.Kind || !route.SendsTo(r.Service)
+	if !moved && sameCaller(who, r.Organisation) {
 		return r, nil
 	}
 	routed := *r
-	routed.Config, routed.Route, routed.Service = config, route, route.Service(rand.Float64())
+	routed.Config, routed.Route, routed.Organisation = config, route, who
+	if moved {
+		routed.Service = route.Service(rand.Float64())
+	}
+	if config.Organisations != nil && r.Config.Organisations == nil {
+		routed.Header = r.Header.Clone()
+		routed.Header.Del(authorization)
+	}
 	return &routed, nil
 }
 
+// Admit implements relay.Router. The key is looked at as of the configuration in force when something
+// is sent, for a stream that goes on elsewhere too.
+func (s *state) Admit(r *relay.Request) *failure.Request {
+	_, failed := s.identify(s.config.Load(), r.Route, r.Credential)
+	return failed
+}
+
+// sameCaller tells whether two configurations take a request's caller for the same organisation, of
+// the same rank.
+func sameCaller(a, b *organisation.Organisation) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name && samePriority(a.Priority, b.Priority)
+}
+
+func samePriority(a, b *int) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // unrouted is the failure of a request without a route. While the configuration
 // cannot be followed, the route may be a new one.
 func (s *state) unrouted() *failure.Request {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/springweir/springweir/freshness"
 	"github.com/springweir/springweir/routes"
 )
 
@@ -17,6 +18,11 @@
 	listed atomic.Bool
 	// stopping is set by a planned stop, to when that cuts off what is still open.
 	stopping atomic.Pointer[time.Time]
+	// freshness tells how old config can be, and revoke how old it may be where keys count.
+	freshness *freshness.Tracker
+	revoke    revokeBudget
+	// applyWithin is the time within which a new configuration must be in force.
+	applyWithin time.Duration
 	// configLost is when the configuration's feed fell silent, in Unix
 	// nanoseconds, or zero while it answers.
 	configLost atomic.Int64
@@ -35,8 +41,14 @@
 	return time.Time{}
 }
 
-// configStale tells whether the configuration cannot be followed now.
-func (s *state) configStale() bool { return s.configLost.Load() != 0 }
+// configStale tells whether the configuration may have changed without this VM's knowing: it cannot
+// be followed now, and nobody else has confirmed it lately.
+func (s *state) configStale() bool {
+	if age, known := s.freshness.Age(); known && s.revoke.bounded() {
+		return age > s.applyWithin
+	}
+	return s.configLost.Load() != 0
+}
 
 // version is that of the configuration in force, or zero.
 func (s *state) version() uint64 {
@@ -48,7 +60,8 @@
 
 // ready tells whether callers may be sent here.
 func (s *state) ready() bool {
-	return !s.isStopping() && s.config.Load() != nil && s.listed.Load()
+	config := s.config.Load()
+	return !s.isStopping() && config != nil && s.listed.Load() && (config.Organisations == nil || s.acceptsKeys())
 }
 
 // setConfig puts a configuration in force unless it is older than the present one.
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/freshness"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/loadshare/sharepb"
@@ -84,6 +85,10 @@
 	Heard func(*sharepb.Load)
 	// News takes what other VMs tell with Tell; each piece may come several times.
 	News func(News)
+	// Confirmation returns the newest confirmation of the configuration that is known here, and
+	// Confirmed takes those of other VMs. Nil tells and takes none.
+	Confirmation func() (version uint64, age time.Duration, known bool)
+	Confirmed    func(freshness.Confirmation)
 }
 
 // Report is what one VM, or the VMs of a zone together, tell the others.
@@ -114,6 +119,7 @@
 	sequence uint64
 	leaving  bool
 	news     outbox
+	echoes   echoes
 	// lastRound is the number of datagrams that the last round took.
 	lastRound int
 }
@@ -124,7 +130,7 @@
 // New returns an exchange without peers.
 func New(cfg Config) *Exchange {
 	self := Peer{Name: cfg.VM, Zone: cfg.Zone, Strength: cfg.Strength}
-	return &Exchange{cfg: cfg, boot: rand.Uint64(), newest: map[string]newest{}, region: newRegion(self), news: newOutbox()}
+	return &Exchange{cfg: cfg, boot: rand.Uint64(), newest: map[string]newest{}, region: newRegion(self), news: newOutbox(), echoes: newEchoes()}
 }
 
 // SetPeers sets whom to tell.
@@ -224,6 +230,7 @@
 		return 0
 	}
 	loads := x.datagrams(m.report, m.of)
+	x.confirm(loads[0], m.to)
 	for _, load := range loads {
 		x.sendOne(conn, load, m.to)
 	}
@@ -269,6 +276,7 @@
 		return
 	}
 	x.takeNews(load)
+	x.takeConfirmation(load)
 	if x.counts(load) {
 		x.cfg.Heard(load)
 	}
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,14 +87,24 @@
 	stop func()
 }
 
+// nextPort is the port to try next. Those that the kernel gives to connections of other tests lie
+// higher, and each is tried once, so that no address is taken between its choice and its use.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(10000 + rand.Int32N(20000)) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		address := fmt.Sprint("127.0.0.1:", nextPort.Add(1))
+		c, err := net.ListenPacket("udp4", address)
+		if err == nil {
+			_ = c.Close()
+			return address
+		}
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func startNode(t *testing.T, name, zone string, strength int) *node {
--- /dev/null
+++ b/organisation/organisation.go
@@ -0,0 +1,127 @@
+// Package organisation knows the organisations of callers by their API keys. It holds digests of
+// the keys, never the keys themselves.
+package organisation
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/springweir/springweir/failure"
+)
+
+// Digest names an API key. Keys are long random texts, so that a plain hash gives nothing away.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// String returns the digest in hex.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest reads what String returns. The error is *DigestError.
+func ParseDigest(text string) (Digest, error) {
+	b, err := hex.DecodeString(text)
+	if err == nil && len(b) != len(Digest{}) {
+		err = hex.ErrLength
+	}
+	if err != nil {
+		return Digest{}, &DigestError{Cause: err}
+	}
+	return Digest(b), nil
+}
+
+// DigestError is a text that is no digest. It does not repeat the text, which may be a key.
+type DigestError struct{ Cause error }
+
+// Error implements error.
+func (e *DigestError) Error() string { return fmt.Sprintf("no digest of an API key: %v", e.Cause) }
+
+// Reason implements failure.Coded.
+func (e *DigestError) Reason() failure.Reason { return failure.BadSettings }
+
+// Unwrap returns the cause.
+func (e *DigestError) Unwrap() error { return e.Cause }
+
+// Organisation is a customer whose callers share its keys. It is immutable.
+type Organisation struct {
+	Name string
+	// Priority, if set, goes before that of the route; 0 is the most urgent.
+	Priority *int
+	// Keys may be empty: nobody can then call in its name.
+	Keys []Digest
+}
+
+// Registry finds organisations by key. It is immutable.
+type Registry struct {
+	list  []Organisation
+	byKey map[Digest]*Organisation
+}
+
+// NewRegistry returns a registry of organisations. A key that several of them claim belongs to the
+// first, and is returned as shared: refusing it would lock out callers who did nothing wrong.
+func NewRegistry(list []Organisation) (r *Registry, shared []Digest) {
+	r = &Registry{list: slices.Clone(list), byKey: map[Digest]*Organisation{}}
+	for i := range r.list {
+		o := &r.list[i]
+		for _, key := range o.Keys {
+			switch holder := r.byKey[key]; {
+			case holder == nil:
+				r.byKey[key] = o
+			case holder != o:
+				shared = append(shared, key)
+			}
+		}
+	}
+	return r, shared
+}
+
+// Len is the number of organisations; none where there is no registry.
+func (r *Registry) Len() int {
+	if r == nil {
+		return 0
+	}
+	return len(r.list)
+}
+
+// Organisations returns all organisations in their order. The caller must not change the slice.
+func (r *Registry) Organisations() []Organisation { return r.list }
+
+// Identify returns the organisation that a credential stands for. The error is
+// *CredentialError.
+func (r *Registry) Identify(c Credential) (*Organisation, error) {
+	if c.Problem != "" {
+		return nil, &CredentialError{Code: c.Problem}
+	}
+	o := r.byKey[c.Key]
+	if o == nil {
+		return nil, &CredentialError{Code: failure.KeyUnknown}
+	}
+	return o, nil
+}
+
+// Credential is what a request shows of who sends it.
+type Credential struct {
+	// Key is the digest of the key, or of whatever was sent in its place; zero if nothing was.
+	Key Digest
+	// Problem is why there is no usable key: failure.KeyMissing or failure.KeyMalformed; empty
+	// if there is one.
+	Problem failure.Reason
+}
+
+// CredentialError is a request without a key that stands for an organisation.
+type CredentialError struct{ Code failure.Reason }
+
+// Error implements error.
+func (e *CredentialError) Error() string { return "credential refused: " + string(e.Code) }
+
+// Reason implements failure.Coded.
+func (e *CredentialError) Reason() failure.Reason { return e.Code }
+
+// IsUnknown tells whether an error is a well-formed key that no organisation has.
+func IsUnknown(err error) bool {
+	var refused *CredentialError
+	return errors.As(err, &refused) && refused.Code == failure.KeyUnknown
+}
--- a/poison/key.go
+++ b/poison/key.go
@@ -33,15 +33,13 @@
 // String returns the key in hex.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
-// credentials is the header in which callers that have credentials send them.
-const credentials = "Authorization"
-
 // KeyOf returns the key of a request.
 func KeyOf(r *relay.Request) Key {
 	h := sha256.New()
-	for _, field := range []string{r.Method, r.Host, r.Target, r.Header.Get(credentials)} {
+	for _, field := range []string{r.Method, r.Host, r.Target} {
 		part(h, []byte(field))
 	}
+	part(h, r.Credential.Key[:])
 	part(h, r.Body)
 	return Key(h.Sum(nil)[:keySize])
 }
--- a/poison/runs_test.go
+++ b/poison/runs_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/relay"
 )
 
@@ -135,7 +135,7 @@
 		t.Error("the id makes a difference")
 	}
 	for name, change := range map[string]func(*relay.Request){
-		"credential":         func(r *relay.Request) { r.Header = http.Header{"Authorization": {"Bearer x"}} },
+		"credential":         func(r *relay.Request) { r.Credential.Key = organisation.DigestOf("x") },
 		"method":             func(r *relay.Request) { r.Method = "PUT" },
 		"host":               func(r *relay.Request) { r.Host = "i" },
 		"target":             func(r *relay.Request) { r.Target = "/p?q" },
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -37,6 +37,8 @@
 
 	// CallerLeft is a caller that is gone or whose time is over.
 	CallerLeft Cause = "caller-left"
+	// CallerNotAdmitted is a caller whose key was taken away, or may have been.
+	CallerNotAdmitted Cause = "caller-not-admitted"
 	// RequestRefused is a request that the guard turns away by now.
 	RequestRefused Cause = "request-refused"
 	// VMStops is a VM whose planned stop leaves too little time for an answer.
@@ -103,6 +105,9 @@
 	if ctx.Err() != nil {
 		return change{cause: CallerLeft, final: left(ctx)}
 	}
+	if refused := j.relay.cfg.Router.Admit(j.req); refused != nil {
+		return change{cause: CallerNotAdmitted, final: refused}
+	}
 	if refused := j.relay.cfg.Guard.Check(j.req); refused != nil {
 		return change{cause: RequestRefused, final: refused}
 	}
--- a/relay/recheck_test.go
+++ b/relay/recheck_test.go
@@ -127,6 +127,8 @@
 	at     time.Time
 	to     *Request
 	failed *failure.Request
+	// admits is set where the failure is not the caller's.
+	admits bool
 }
 
 func after(d time.Duration) switching { return switching{at: clock.Now().Add(d)} }
@@ -145,6 +147,13 @@
 	return r, nil
 }
 
+func (s *switching) Admit(r *Request) *failure.Request {
+	if s.admits {
+		return nil
+	}
+	return s.Check(r)
+}
+
 func (s *switching) Check(*Request) *failure.Request {
 	if clock.Now().Before(s.at) {
 		return nil
@@ -168,6 +177,7 @@
 }
 
 func (l *lazily) Route(r *Request) (*Request, *failure.Request)       { return l.get().Route(r) }
+func (l *lazily) Admit(r *Request) *failure.Request                   { return l.get().Admit(r) }
 func (l *lazily) Check(r *Request) *failure.Request                   { return l.get().Check(r) }
 func (l *lazily) Ended(r *Request, e *directory.Endpoint, end RunEnd) {}
 
@@ -176,8 +186,13 @@
 func TestRequestEndsWhileItWaits(t *testing.T) {
 	dropped := &failure.Request{Code: failure.NoSuchRoute, Ran: failure.NotRun}
 	refused := &failure.Request{Code: failure.CrashesEndpoints, Ran: failure.NotRun}
+	unknown := &failure.Request{Code: failure.KeyUnknown, Ran: failure.NotRun}
 	turning := func(failed *failure.Request) *lazily {
-		return &lazily{make: func() *switching { s := after(changes); s.failed = failed; return &s }}
+		return &lazily{make: func() *switching {
+			s := after(changes)
+			s.failed, s.admits = failed, failed != unknown
+			return &s
+		}}
 	}
 	for _, tc := range []struct {
 		name string
@@ -189,6 +204,7 @@
 		}, failure.CallerGone},
 		{"its caller's time is over", func(w *world) { w.within = changes }, failure.DeadlinePassed},
 		{"it is found to crash endpoints", func(w *world) { w.guard = turning(refused) }, failure.CrashesEndpoints},
+		{"its caller's key is taken away", func(w *world) { w.router = turning(unknown) }, failure.KeyUnknown},
 		{"its route is dropped", func(w *world) { w.router = turning(dropped) }, failure.NoSuchRoute},
 		{"the VM is about to end", func(w *world) {
 			stops := &stopAt{}
@@ -220,6 +236,37 @@
 	}
 }
 
+// A key that is taken away between two attempts ends the request, and a stream that has begun does
+// not go on elsewhere.
+func TestKeyIsTakenAwayBetweenAttempts(t *testing.T) {
+	taken := func() *lazily {
+		return &lazily{make: func() *switching {
+			s := after(changes)
+			s.failed = &failure.Request{Code: failure.KeyUnknown, Ran: failure.NotRun}
+			return &s
+		}}
+	}
+	call := routes.Route{Kind: routes.Idempotent, MaxAttempts: 2}
+	for _, tc := range []struct {
+		name string
+		w    world
+		want outcome
+	}{
+		{"a call", world{route: call, plans: []string{"a", "b"}, sends: []step{slowly(lost(), 0, waits)}},
+			outcome{Code: failure.EndpointBroke, Ran: failure.Unknown, Calls: []string{"send a"}, Taken: 1, Attempts: 1, Took: waits}},
+		{"a stream that has begun", world{route: letter, plans: []string{"a", "b"}, sends: []step{cutAfter(waits, e(1)), ok(e(2))}},
+			outcome{Status: 200, Begun: true, Body: e(1), Code: failure.KeyUnknown, Ran: failure.Unknown, Calls: []string{"send a"}, Taken: 1, Attempts: 1, Took: waits}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.w.router, tc.w.budget = taken(), 1
+			tc.w.route.Objective, tc.w.route.EventGap = 10*time.Second, 10*time.Second
+			if diff := cmp.Diff(tc.want, play(t, tc.w)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // stopAt is when the VM's planned stop ends what is open.
 type stopAt struct {
 	mu sync.Mutex
--- a/relay/request.go
+++ b/relay/request.go
@@ -16,6 +16,7 @@
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/prompt"
 	"github.com/springweir/springweir/routes"
 )
@@ -46,6 +47,10 @@
 	// Route allows the request; Service is the one chosen among its targets.
 	Route   *routes.Route
 	Service string
+	// Credential is what the caller showed of who it is, and Organisation whom that stands for:
+	// nil on open routes, and where the configuration names no organisations.
+	Credential   organisation.Credential
+	Organisation *organisation.Organisation
 	// Prompt is set when the caller described a generation.
 	Prompt *prompt.Prompt
 	// HeldEvents is the number of the last event of the stream that the caller
@@ -61,6 +66,15 @@
 	return max(r.Deadline.Sub(now), time.Millisecond)
 }
 
+// Priority is how urgent the request is: the organisation's rank goes before the route's. 0 is the
+// most urgent.
+func (r *Request) Priority() int {
+	if r.Organisation != nil && r.Organisation.Priority != nil {
+		return *r.Organisation.Priority
+	}
+	return r.Route.Priority
+}
+
 // context returns ctx bounded by the deadline.
 func (r *Request) context(ctx context.Context) (context.Context, context.CancelFunc) {
 	if r.Deadline.IsZero() {
--- a/relay/reroute.go
+++ b/relay/reroute.go
@@ -11,6 +11,9 @@
 	// Route returns the request as it is routed now: r itself if its route still sends it to its
 	// service, otherwise a copy with another route and service.
 	Route(r *Request) (*Request, *failure.Request)
+	// Admit returns why the caller of a request may no longer have it run, or nil: its key was taken
+	// away, or this VM cannot tell.
+	Admit(r *Request) *failure.Request
 }
 
 // unrouted is the Router of a Relay that has none: routes do not change.
@@ -19,6 +22,9 @@
 // Route implements Router.
 func (unrouted) Route(r *Request) (*Request, *failure.Request) { return r, nil }
 
+// Admit implements Router.
+func (unrouted) Admit(*Request) *failure.Request { return nil }
+
 // route returns the request as it is routed now. A stream that has begun goes on where its
 // events came from.
 func (j *job) route() (*Request, *failure.Request) {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -8,6 +8,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/springweir/springweir/organisation"
 )
 
 // Kind tells what may be repeated of a route's requests.
@@ -50,6 +52,8 @@
 	MaxAttempts int
 	// Resumable streams may be continued by another endpoint.
 	Resumable bool
+	// Open routes need no API key.
+	Open bool
 	// Targets are the services, at least one.
 	Targets []Target
 }
@@ -119,6 +123,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations are the callers'. Nil names none: nobody needs a key.
+	Organisations *organisation.Registry
 
 	byHost  map[string][]*Route
 	service map[string]*Service
--- a/table/follow.go
+++ b/table/follow.go
@@ -43,6 +43,8 @@
 	OnList func(rows []Row, l Listing)
 	// OnChanges takes changes; there may be none.
 	OnChanges func(changes []Change, afterOutage bool)
+	// OnAnswered, which may be nil, is called after OnList or OnChanges has taken in an answer.
+	OnAnswered func()
 	// OnLost is called when a question fails after one that did not, OnRegained
 	// when one succeeds again, with how long there was no answer. Both may be nil.
 	OnLost     func(err error)
@@ -72,6 +74,7 @@
 		l := Listing{AfterOutage: f.answered(), NewEpoch: listed && at.Epoch() > f.epoch}
 		listed, f.epoch = true, at.Epoch()
 		f.OnList(rows, l)
+		f.taken()
 		f.follow(ctx, at)
 	}
 }
@@ -92,11 +95,18 @@
 			f.failed(ctx, err)
 		default:
 			f.OnChanges(changes, f.answered())
+			f.taken()
 			at = max(at, next)
 		}
 	}
 }
 
+func (f *Follower) taken() {
+	if f.OnAnswered != nil {
+		f.OnAnswered()
+	}
+}
+
 // failed notes a question without an answer and pauses.
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
