Let VMs that lose the store read tables from VMs elsewhere

Cause: a VM asked the VMs before it and then the store; a zone that had lost the store as a whole learned of nothing, though the readers of the other zones knew. With keys that must be confirmed such a zone would refuse its callers as soon as any configuration changed.

--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -71,6 +71,9 @@
 	Before []string
 	// First is set on the VM that the others of the zone ask first.
 	First bool
+	// Elsewhere are VMs to ask when neither those before this one nor the store give an answer:
+	// the store may have turned away this VM, or its whole zone, and not them.
+	Elsewhere []string
 }
 
 // Source follows one table, from the store or from a VM that does. It implements
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -30,21 +30,43 @@
 
 // List implements table.Feed.
 func (s *Source) List(ctx context.Context, name string) ([]table.Row, table.Version, error) {
-	for _, address := range s.candidates() {
+	for _, address := range s.trusted(s.place().Before) {
 		ctx, cancel := s.whileReader(ctx, address, listTimeout)
-		rows, at, err := s.peers.List(ctx, address, name)
+		rows, at, err := s.listPeer(ctx, address, name)
 		cancel()
-		if err == nil && at < s.cache.at() {
-			err = &BehindError{Version: at, Known: s.cache.at()}
-		}
 		if err == nil {
-			s.answered(address, at)
-			s.cache.reset(rows, at, toldByVM)
 			return rows, at, nil
 		}
 		s.refused(address, err)
 	}
-	return s.listStore(ctx, name)
+	rows, at, err := s.listStore(ctx, name)
+	if err == nil {
+		return rows, at, nil
+	}
+	for _, address := range s.trusted(s.place().Elsewhere) {
+		ctx, cancel := clock.WithTimeout(ctx, listTimeout)
+		rows, at, failed := s.listPeer(ctx, address, name)
+		cancel()
+		if failed == nil {
+			return rows, at, nil
+		}
+		s.doubt(address, failed)
+	}
+	return nil, 0, err
+}
+
+// listPeer reads the table from another VM.
+func (s *Source) listPeer(ctx context.Context, address, name string) ([]table.Row, table.Version, error) {
+	rows, at, err := s.peers.List(ctx, address, name)
+	if err == nil && at < s.cache.at() {
+		err = &BehindError{Version: at, Known: s.cache.at()}
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	s.answered(address, at)
+	s.cache.reset(rows, at, toldByVM)
+	return rows, at, nil
 }
 
 func (s *Source) listStore(ctx context.Context, name string) ([]table.Row, table.Version, error) {
@@ -65,21 +87,39 @@
 
 // Changes implements table.Feed.
 func (s *Source) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
-	for _, address := range s.candidates() {
-		changes, next, err := s.askPeer(ctx, address, name, after, min(wait, s.settings.wait()))
-		var gone *table.HistoryGoneError
-		if err == nil || errors.As(err, &gone) {
+	short := min(wait, s.settings.wait())
+	for _, address := range s.trusted(s.place().Before) {
+		asking, cancel := s.whileReader(ctx, address, short+peerWaitMargin)
+		changes, next, err := s.changesOfPeer(asking, address, name, after, short)
+		cancel()
+		if err == nil || isGone(err) {
 			return changes, next, err
 		}
 		s.refused(address, err)
 	}
-	return s.changesOfStore(ctx, name, after, wait)
+	changes, next, err := s.changesOfStore(ctx, name, after, wait)
+	if err == nil || isGone(err) {
+		return changes, next, err
+	}
+	for _, address := range s.trusted(s.place().Elsewhere) {
+		asking, cancel := clock.WithTimeout(ctx, short+peerWaitMargin)
+		changes, next, failed := s.changesOfPeer(asking, address, name, after, short)
+		cancel()
+		if failed == nil || isGone(failed) {
+			return changes, next, failed
+		}
+		s.doubt(address, failed)
+	}
+	return nil, 0, err
+}
+
+func isGone(err error) bool {
+	var gone *table.HistoryGoneError
+	return errors.As(err, &gone)
 }
 
-// askPeer asks another VM for changes.
-func (s *Source) askPeer(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
-	ctx, cancel := s.whileReader(ctx, address, wait+peerWaitMargin)
-	defer cancel()
+// changesOfPeer asks another VM for changes.
+func (s *Source) changesOfPeer(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	changes, next, err := s.peers.Changes(ctx, address, name, after, wait)
 	if err != nil {
 		return nil, 0, err
@@ -156,11 +196,11 @@
 // serves tells whether other VMs ask this one.
 func (s *Source) serves() bool { return s.place().First || s.cache.askedLately() }
 
-// candidates are the VMs to ask, without those that are in doubt.
-func (s *Source) candidates() []string {
+// trusted are those of some VMs that are not in doubt.
+func (s *Source) trusted(addresses []string) []string {
 	now := clock.Now()
 	var list []string
-	for _, address := range s.place().Before {
+	for _, address := range addresses {
 		if now.After(s.doubted[address]) {
 			list = append(list, address)
 		}
@@ -172,16 +212,26 @@
 // while. But for one that says that the store does not answer it while that holds here
 // too: it is the first to know when the store is back.
 func (s *Source) refused(address string, err error) {
-	reason := failure.ReasonOf(err)
-	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_feed_refused_total{table=%q,reason=%q}`, s.table, reason)).Inc()
-	klog.V(1).InfoS("feedshare: VM gave no answer, asking the next", "table", s.table, "vm", address, "reason", reason, "err", err)
 	var noNews *NotReaderError
 	if errors.As(err, &noNews) && s.resting() != nil {
+		s.note(address, err)
 		return
 	}
+	s.doubt(address, err)
+}
+
+// doubt leaves a VM alone for a while that gave no answer that could be used.
+func (s *Source) doubt(address string, err error) {
+	s.note(address, err)
 	s.doubted[address] = clock.Now().Add(loop.Jitter(doubt))
 }
 
+func (s *Source) note(address string, err error) {
+	reason := failure.ReasonOf(err)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_feed_refused_total{table=%q,reason=%q}`, s.table, reason)).Inc()
+	klog.V(1).InfoS("feedshare: VM gave no answer, asking the next", "table", s.table, "vm", address, "reason", reason, "err", err)
+}
+
 // resting returns why the store is left alone now, or nil.
 func (s *Source) resting() error {
 	if clock.Now().Before(s.restUntil) {
@@ -193,8 +243,7 @@
 // lost notes that the store gave no answer. The VMs in doubt are asked again: one of them
 // may find the store first.
 func (s *Source) lost(err error) {
-	var gone *table.HistoryGoneError
-	if errors.As(err, &gone) {
+	if isGone(err) {
 		return
 	}
 	s.cache.lost()
--- a/feedshare/zone_test.go
+++ b/feedshare/zone_test.go
@@ -123,7 +123,13 @@
 			before = append(before, fmt.Sprint(i))
 		}
 	}
-	return Place{Before: before, First: first}
+	var elsewhere []string
+	for i := range z.zones {
+		if i != v.index%z.zones {
+			elsewhere = append(elsewhere, fmt.Sprint(i))
+		}
+	}
+	return Place{Before: before, First: first, Elsewhere: elsewhere}
 }
 
 // silentFor is how long the VM has said nothing to the others.
@@ -423,6 +429,43 @@
 	})
 }
 
+// A zone that has lost the store learns of changes from the readers of the others, without many
+// questions to these, and goes back to its own once it can.
+func TestZoneThatLosesTheStoreLearnsFromOthers(t *testing.T) {
+	for _, lost := range []fault{cutFromStore, deafToStore} {
+		z := &zone{settings: Settings{Within: within, Gather: within / 12}, zones: 3}
+		playZones(t, z, 60, func(z *zone) {
+			z.put("a", "old")
+			time.Sleep(10 * time.Second)
+			for i := 0; i < len(z.vms); i += z.zones {
+				z.vms[i].set(lost)
+			}
+			time.Sleep(4 * time.Second)
+			for n := range 5 {
+				z.put("a", fmt.Sprint("new ", n))
+				time.Sleep(2 * within)
+				if late := z.unaware("a", fmt.Sprint("new ", n)); late != "" {
+					t.Errorf("fault %d, change %d is not known on %s", lost, n, late)
+				}
+			}
+			for _, v := range z.vms {
+				v.set(healthy)
+			}
+			time.Sleep(4 * doubt)
+			z.put("a", "newer")
+			time.Sleep(within / 2)
+			if late := z.unaware("a", "newer"); late != "" {
+				t.Errorf("after the fault not known on %s", late)
+			}
+			before := z.asked()
+			time.Sleep(10 * time.Second)
+			if n := z.asked() - before; n > 3*25 {
+				t.Errorf("%d questions to the store in 10 s, the VMs did not go back to their readers", n)
+			}
+		})
+	}
+}
+
 // While the store is away only the first VMs ask it often, nobody forgets what is known,
 // and all know of its return soon after the first does.
 func TestFewAskAStoreThatIsAway(t *testing.T) {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -22,6 +22,8 @@
 	// readersBefore is how many VMs one asks before it asks the store itself: the first of
 	// the zone, and the one that takes its place if that is gone.
 	readersBefore = 2
+	// readersElsewhere is how many VMs one asks that the store does not answer.
+	readersElsewhere = 3
 	// peersWait is how long a VM that starts waits for the list of the others, whom it can
 	// then ask for the tables: the store answers in some 10 ms, and a store that is away
 	// must not hold up the questions that find that out.
@@ -48,6 +50,9 @@
 		place.Before = append(place.Before, p.Address.String())
 	}
 	place.First = g.exchange.Collects()
+	for _, p := range g.exchange.Elsewhere(readersElsewhere) {
+		place.Elsewhere = append(place.Elsewhere, p.Address.String())
+	}
 	return place
 }
 
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -160,6 +160,14 @@
 	return x.region.before(clock.Now(), n)
 }
 
+// Elsewhere returns VMs that may reach the platform where this one's zone does not, at most n: the
+// collectors of the other zones, or, in a small region, the strongest others.
+func (x *Exchange) Elsewhere(n int) []Peer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.region.elsewhere(clock.Now(), n)
+}
+
 // Collects tells whether this VM is the collector of its zone.
 func (x *Exchange) Collects() bool {
 	x.mu.Lock()
--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -63,16 +63,21 @@
 		r.zones[p.Zone] = append(r.zones[p.Zone], p)
 	}
 	for _, list := range r.zones {
-		sort.Slice(list, func(i, j int) bool {
-			a, b := list[i], list[j]
-			if a.Strength != b.Strength {
-				return a.Strength > b.Strength
-			}
-			return a.Name < b.Name
-		})
+		sortByStrength(list)
 	}
 }
 
+// sortByStrength puts VMs into the order of collectors.
+func sortByStrength(list []Peer) {
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.Strength != b.Strength {
+			return a.Strength > b.Strength
+		}
+		return a.Name < b.Name
+	})
+}
+
 // collected tells whether the region is large enough for collectors.
 func (r *region) collected() bool { return len(r.peers) > directPeers }
 
@@ -148,6 +153,18 @@
 	return list
 }
 
+// elsewhere returns the collectors of the other zones, or, in a small region, the strongest of the
+// VMs that are not silent, at most n.
+func (r *region) elsewhere(now time.Time, n int) []Peer {
+	if r.collected() {
+		list := r.otherCollectors(now)
+		return list[:min(n, len(list))]
+	}
+	list := slices.DeleteFunc(slices.Clone(r.peers), func(p Peer) bool { return !r.alive(p.Name, now) })
+	sortByStrength(list)
+	return list[:min(n, len(list))]
+}
+
 // otherCollectors are those of the other zones.
 func (r *region) otherCollectors(now time.Time) []Peer {
 	var list []Peer
