Count the requests of each organisation, and let one VM report them

Counting: a process counts a stream at its first event, and what is no stream when it is sent unless it turns out not to have run; each request once however many attempts it takes. Accounts are cumulative by process and window, told in the datagrams that VMs exchange anyway to two VMs of the zone (three rounds, some 60 ms) and by the collector to those of the other zones. A process seals a window once nothing sent in it is open. The time of day is steady: a step counts only once it has lasted a minute.

Reporting: package duties holds the lease that role orders used, with its numbers and waits, and the one way to make a call under it (Act): it ends within the authority or its connection is reset. The term is 3 s instead of 6, so that a window is in time also when its holder dies at its end. The reporter adds up what all keepers know, waits up to 6 s for VMs that have not sealed, writes the sum to the store under the lease and then reports what the store holds. Ways: (a) agreed in the store first; (b) only the holder that began a window reports it.

Ranks go by the place in the zone and then by the zone, so that the first contenders lie in different zones; by name all four lay in one, whose loss would have left the lease free for up to 24 s.

Proof: 640 schedules (fates of three calls, with the holder dying or standing still at each) on the code that serves, none with two sums; without the agreement the second schedule with a death finds it. roster.Rank and its test went to loadshare.TestRank.

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -129,6 +129,8 @@
 	EngineBusy Reason = "engine-busy"
 	// PeerUnreachable is a call to another process of the system that failed.
 	PeerUnreachable Reason = "peer-unreachable"
+	// DutyRefused is a call of a duty that the platform did not take.
+	DutyRefused Reason = "duty-refused"
 	// LeaseLost is an action not taken because the lease is not held.
 	LeaseLost Reason = "lease-lost"
 )
--- /dev/null
+++ b/gateway/duties.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/springweir/springweir/duties"
+	"github.com/springweir/springweir/duties/usage"
+	"github.com/springweir/springweir/feedshare"
+	"github.com/springweir/springweir/relay"
+	"github.com/springweir/springweir/routes"
+)
+
+// listDuties are those that this VM carries out while it holds the lease.
+func (g *Gateway) listDuties(day func() time.Time) []duties.Duty {
+	list := []duties.Duty{g.roles}
+	if g.usage != nil {
+		list = append(list, usage.NewReporter(usage.Config{
+			VM: g.settings.VM, Rows: g.platform.Rows, Ledger: g.usage, Keepers: usage.NewClient(g.network, g.keepers),
+			Platform: g.platform.Usage, EpochSince: g.platform.EpochSince, Names: g.state.names.byHash,
+			Length: g.settings.Duties.UsageWindow, Late: g.settings.Duties.UsageLate, Day: day,
+		}))
+	}
+	return list
+}
+
+// keepers are the addresses of the VMs that hold accounts of usage.
+func (g *Gateway) keepers() []string {
+	var list []string
+	for _, p := range g.exchange.Keepers() {
+		list = append(list, p.Address.String())
+	}
+	return list
+}
+
+// peerHandler answers the questions of other VMs.
+func (g *Gateway) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", feedshare.Handler(g.configs, g.endpoints, g.vms, g.verdicts))
+	if g.usage != nil {
+		mux.Handle(usage.PathPrefix, usage.Handler(g.usage))
+	}
+	return mux
+}
+
+// meter counts requests for the reports of usage.
+func (g *Gateway) meter() relay.Meter {
+	if g.usage == nil {
+		return nil
+	}
+	return meter{g.usage}
+}
+
+// meter implements relay.Meter. Requests of nobody, on open routes, are not counted.
+type meter struct{ ledger *usage.Ledger }
+
+// Began implements relay.Meter.
+func (m meter) Began(r *relay.Request) {
+	if r.Organisation != nil {
+		m.ledger.Began(r.Organisation.Name)
+	}
+}
+
+// Sent implements relay.Meter.
+func (m meter) Sent(r *relay.Request) func(bool) {
+	if r.Organisation == nil {
+		return func(bool) {}
+	}
+	return m.ledger.Sent(r.Organisation.Name).Ended
+}
+
+// names are those of all organisations that were in force since the start: requests are reported a
+// while after they ran, when a configuration may name their organisation no more.
+type names struct {
+	mu   sync.Mutex
+	list map[uint64]string
+}
+
+// learn takes in the organisations of a configuration.
+func (n *names) learn(c *routes.Config) {
+	if c.Organisations == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make(map[uint64]string, len(n.list))
+	for hash, name := range n.list {
+		list[hash] = name
+	}
+	for _, o := range c.Organisations.Organisations() {
+		list[usage.Hash(o.Name)] = o.Name
+	}
+	n.list = list
+}
+
+// byHash returns the names. The caller must not change the map.
+func (n *names) byHash() map[uint64]string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.list
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,11 +12,14 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/duties"
+	"github.com/springweir/springweir/duties/usage"
 	"github.com/springweir/springweir/feedshare"
 	"github.com/springweir/springweir/freshness"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
+	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/placement"
 	"github.com/springweir/springweir/poison"
@@ -66,6 +69,17 @@
 	Placement placement.Tuning
 	// Retry bounds the retries of each service over all VMs.
 	Retry retry.WindowLimits
+	// Duties are those that the platform expects of one VM at a time.
+	Duties Duties
+}
+
+// Duties are calls to the platform that one VM of the region makes at a time.
+type Duties struct {
+	// Address is where the platform takes them (host:port); empty if it expects none.
+	Address string
+	// UsageWindow is the length of the windows in which requests are counted, and UsageLate how long
+	// after its end a window's report is of use. Zero reports none.
+	UsageWindow, UsageLate time.Duration
 }
 
 // Platform is what the gateway needs of the platform it runs on.
@@ -73,11 +87,14 @@
 	Rows table.Service
 	Feed table.Feed
 	// Epoch returns the newest epoch of the store that is known (see table.Version).
-	Epoch    func() uint64
-	Upstream relay.Upstream
-	Engines  rolechange.Engines
-	Caches   Caches
-	Codec    Codec
+	Epoch func() uint64
+	// EpochSince returns when that epoch was first seen here, zero for a store without any.
+	EpochSince func() time.Time
+	Upstream   relay.Upstream
+	Engines    rolechange.Engines
+	Usage      usage.Platform
+	Caches     Caches
+	Codec      Codec
 	// Config is the row of the operators' configuration, and Endpoints the table
 	// in which endpoints register.
 	Config    table.Key
@@ -106,8 +123,11 @@
 	roster    *roster.Roster
 	exchange  *loadshare.Exchange
 	freshness *freshness.Tracker
-	roles     *rolechange.Keeper
-	guard     *poison.Guard
+	// usage is nil where nothing is to be reported.
+	usage  *usage.Ledger
+	roles  *rolechange.Keeper
+	duties *duties.Keeper
+	guard  *poison.Guard
 	// configs, endpoints and vms are where the tables are read from.
 	configs, endpoints, vms, verdicts *feedshare.Source
 	// stored is the configuration as the store last told it, nil before it did.
@@ -123,21 +143,29 @@
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
 		Ordered: func() []string { return g.roles.Changing() }, Tuning: s.Placement,
 	})
+	day := clock.NewWall().Now
 	g.budgets = newBudgets(s.Retry)
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, Boot: roster.NewBoot()}
 	g.newSources()
 	g.roster = roster.New(p.Rows, g.vms, self, g.setPeers)
+	if s.Duties.UsageWindow > 0 {
+		g.usage = usage.NewLedger(usage.Self{VM: s.VM, Zone: s.Zone}, s.Duties.UsageWindow, day, nil)
+	}
 	g.exchange = loadshare.New(g.exchangeConfig())
 	g.roles = rolechange.New(rolechange.Config{
-		VM: s.VM, Rows: p.Rows, Epoch: p.Epoch, Directory: g.directory, Services: g.state.config.Load,
-		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Lease: s.Lease, Rank: g.roster.Rank, Announce: g.exchange.Spread,
-	}, self.Boot, s.Peers)
+		VM: s.VM, Directory: g.directory, Services: g.state.config.Load,
+		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, Open: g.planner.Open, Announce: g.exchange.Spread,
+	})
+	g.duties = duties.NewKeeper(duties.Config{
+		Rows: p.Rows, Epoch: p.Epoch, Apart: s.Lease, Rank: g.exchange.Rank,
+		Self: lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
+	}, g.listDuties(day)...)
 	g.guard = poison.NewGuard(poison.Config{
 		Down: p.Down, Tell: g.exchange.Tell, Spread: g.exchange.Spread, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
 	})
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.of, Guard: g.guard,
-		Router: g.state, Endpoints: g.directory.Snapshot, StopsAt: g.state.stopsAt,
+		Router: g.state, Endpoints: g.directory.Snapshot, StopsAt: g.state.stopsAt, Meter: g.meter(),
 	})
 	return g
 }
@@ -150,6 +178,9 @@
 		VM: s.VM, Zone: s.Zone, Address: s.Peers, Strength: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond,
 		Own: g.planner.Own, Heard: g.heard, News: func(n loadshare.News) { g.guard.Heard(n) },
 	}
+	if g.usage != nil {
+		c.Usage = g.usage
+	}
 	if g.state.revoke.bounded() {
 		c.Confirmation, c.Confirmed = g.freshness.Newest, g.freshness.Confirm
 	}
@@ -192,12 +223,12 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	serving, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	duties, rest := context.WithCancel(serving)
+	leading, rest := context.WithCancel(serving)
 	defer rest()
 	group, work := errgroup.WithContext(serving)
 	callers := g.callerServer()
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness)}
-	feeds := &http.Server{Handler: feedshare.Handler(g.configs, g.endpoints, g.vms, g.verdicts), ReadHeaderTimeout: headerTimeout}
+	questions := &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout}
 	counters := &http.Server{Handler: http.HandlerFunc(g.serveMetrics)}
 	klog.InfoS("gateway: starting", "settings", g.settings)
 	// Callers can connect before the readiness check can say so: otherwise a VM that
@@ -208,7 +239,7 @@
 	}
 	group.Go(func() error { return serveOn(callers, listener) })
 	group.Go(func() error { return g.serve(readiness, g.settings.Readiness) })
-	group.Go(func() error { return g.serve(feeds, g.settings.Peers) })
+	group.Go(func() error { return g.serve(questions, g.settings.Peers) })
 	if g.settings.Metrics != "" {
 		group.Go(func() error { return g.serve(counters, g.settings.Metrics) })
 	}
@@ -219,7 +250,7 @@
 	group.Go(func() error { clock.Watch(work); return nil })
 	group.Go(func() error { g.roster.Run(work); return nil })
 	group.Go(func() error { g.awaitPeers(work); g.guard.Run(work); return nil })
-	group.Go(func() error { g.roles.Run(duties); return nil })
+	group.Go(func() error { g.awaitPeers(leading); g.duties.Run(leading); return nil })
 	group.Go(func() error { return g.exchange.Run(work) })
 	select {
 	case <-ctx.Done():
@@ -230,7 +261,7 @@
 	end()
 	_ = callers.Close()
 	_ = readiness.Close()
-	_ = feeds.Close()
+	_ = questions.Close()
 	_ = counters.Close()
 	return waitFor(group, endLimit)
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -21,6 +21,8 @@
 	// freshness tells how old config can be, and revoke how old it may be where keys count.
 	freshness *freshness.Tracker
 	revoke    revokeBudget
+	// names are those of organisations, for the reports of usage.
+	names names
 	// applyWithin is the time within which a new configuration must be in force.
 	applyWithin time.Duration
 	// configLost is when the configuration's feed fell silent, in Unix
@@ -72,6 +74,7 @@
 			return false
 		}
 		if s.config.CompareAndSwap(old, c) {
+			s.names.learn(c)
 			return true
 		}
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -89,6 +89,8 @@
 	// Confirmed takes those of other VMs. Nil tells and takes none.
 	Confirmation func() (version uint64, age time.Duration, known bool)
 	Confirmed    func(freshness.Confirmation)
+	// Usage, if set, is told to the keepers, and takes what other VMs tell.
+	Usage Usage
 }
 
 // Report is what one VM, or the VMs of a zone together, tell the others.
@@ -168,6 +170,14 @@
 	return x.region.elsewhere(clock.Now(), n)
 }
 
+// Rank is this VM's place among all VMs of the region: the strongest of each zone come first, then
+// the second of each, so that the loss of a zone leaves some of the first.
+func (x *Exchange) Rank() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.region.rank()
+}
+
 // Collects tells whether this VM is the collector of its zone.
 func (x *Exchange) Collects() bool {
 	x.mu.Lock()
@@ -215,6 +225,7 @@
 		}
 		x.noteRound(clock.Now(), all, round)
 		x.tellNews(conn)
+		x.tellUsage(conn)
 	}
 }
 
@@ -285,6 +296,7 @@
 	}
 	x.takeNews(load)
 	x.takeConfirmation(load)
+	x.takeUsage(load)
 	if x.counts(load) {
 		x.cfg.Heard(load)
 	}
--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -165,6 +165,19 @@
 	return list[:min(n, len(list))]
 }
 
+// rank is the own VM's place among all: by the place in its zone, then by the zone.
+func (r *region) rank() int {
+	own := slices.IndexFunc(r.zones[r.self.Zone], func(p Peer) bool { return p.Name == r.self.Name })
+	rank := 0
+	for zone, list := range r.zones {
+		rank += min(len(list), own)
+		if zone < r.self.Zone && len(list) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // otherCollectors are those of the other zones.
 func (r *region) otherCollectors(now time.Time) []Peer {
 	var list []Peer
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
+	"github.com/springweir/springweir/routes"
 )
 
 // spareAnswer is an answer that was read to its end.
@@ -33,6 +34,9 @@
 			Message: fmt.Sprintf("the endpoint answered %d in the middle of a stream", answer.Status()),
 		}
 	}
+	if j.req.Route.Kind == routes.Stream {
+		j.began() // it ran, and failed before its first event
+	}
 	read := &spareAnswer{answer: answer, body: body}
 	if answer.Status() >= http.StatusInternalServerError && j.mayAskAnother(ctx) {
 		j.spare = read
@@ -140,6 +144,7 @@
 	}
 	if j.result.Events == 0 {
 		watch.FirstEvent()
+		j.began()
 	}
 	if !j.result.Begun {
 		if failed := j.begin(answer, -1); failed != nil {
--- a/relay/config.go
+++ b/relay/config.go
@@ -15,6 +15,8 @@
 	Budget func(service string) Budget
 	// Guard watches what requests do to endpoints; nil is nobody.
 	Guard Guard
+	// Meter counts the requests that endpoints begin to run; nil counts none.
+	Meter Meter
 	// Router says where requests go now; nil leaves their routes as they came.
 	Router Router
 	// Endpoints returns the newest picture of the endpoints.
@@ -55,6 +57,9 @@
 	if cfg.Guard == nil {
 		cfg.Guard = unguarded{}
 	}
+	if cfg.Meter == nil {
+		cfg.Meter = unmetered{}
+	}
 	if cfg.Router == nil {
 		cfg.Router = unrouted{}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,10 @@
 	replans   int
 	// withdrawn is why the present attempt was not sent as planned, or nil.
 	withdrawn *failure.Request
+	// metered is set once the request was counted, and unsettled ends an attempt that may come to be
+	// counted; nil if there is none.
+	metered   bool
+	unsettled func(ran bool)
 	// spare is an endpoint's whole answer that says it failed, kept while another
 	// endpoint is asked.
 	spare *spareAnswer
@@ -127,7 +131,13 @@
 // attempt makes one attempt, with its prefill elsewhere if the plan has one.
 func (j *job) attempt(ctx context.Context, plan Plan) *failure.Request {
 	a := &Attempt{Request: j.req, Endpoint: plan.Serve, HeldEvents: j.held}
-	a.Ready = func() *failure.Request { return j.recheck(ctx, plan, plan.Serve) }
+	a.Ready = func() *failure.Request {
+		failed := j.recheck(ctx, plan, plan.Serve)
+		if failed == nil {
+			j.sent()
+		}
+		return failed
+	}
 	if plan.Prefill != nil {
 		if failed := j.prefill(ctx, plan, a); failed != nil {
 			plan.Watch.Finished(nil, true)
@@ -144,6 +154,7 @@
 		a.CopyFrom = plan.CopyFrom
 	}
 	failed := j.send(ctx, a, plan)
+	j.settle(failed)
 	if j.withdrawn != nil {
 		plan.Watch.Finished(nil, true)
 		return j.withdrawn
--- a/rolechange/keeper.go
+++ b/rolechange/keeper.go
@@ -8,18 +8,17 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/duties"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/routes"
-	"github.com/springweir/springweir/table"
 )
 
 // Config is what a Keeper works with.
 type Config struct {
 	VM        string
-	Rows      table.Service
 	Directory *directory.Directory
 	Services  func() *routes.Config
 	Engines   Engines
@@ -33,29 +32,11 @@
 	// Announce is how long all VMs take to learn that an engine is about to
 	// change, and so to send it nothing new.
 	Announce func() time.Duration
-	// Rank is this VM's place among all: those behind the first few contend less
-	// often.
-	Rank func() int
 	// Now is where decisions take the time from; nil is the VM's clock.
 	Now func() time.Time
-	// Epoch returns the newest epoch of the store (see table.Version); nil is a store without any.
-	Epoch func() uint64
-	// Lease is how long after an order of one holder no other may order.
-	Lease time.Duration
 }
 
 const (
-	// leasePool and leaseZone name the one lease: role changes are rare, so one
-	// VM of the region carries them out.
-	leasePool, leaseZone = "engine-roles", "region"
-	// leaseTTL, leaseRenew and leasePoll are chosen for few calls to the store:
-	// a role change may wait for ten seconds.
-	leaseTTL   = 6 * time.Second
-	leaseRenew = 2 * time.Second
-	leasePoll  = 4 * time.Second
-	// settleMargin is added to the wait of a new holder for clocks and the
-	// network's delay.
-	settleMargin = 500 * time.Millisecond
 	// period is how often the roles are looked at.
 	period = 300 * time.Millisecond
 	// callTimeout bounds a call to an engine. It is also the time within which
@@ -66,11 +47,10 @@
 	changeTimeout = 15 * time.Second
 )
 
-// Keeper changes roles while this VM holds the lease. It is safe for concurrent
-// use; mu is a leaf.
+// Keeper changes roles while this VM holds the lease of package duties. It is safe for
+// concurrent use; mu is a leaf.
 type Keeper struct {
-	cfg    Config
-	holder *lease.Holder
+	cfg Config
 	// balancers are by service. They belong to the tenure's goroutine.
 	balancers map[string]*Balancer
 
@@ -79,32 +59,17 @@
 	changing map[string]change
 }
 
-// New returns a keeper that contends for the lease as boot, a name drawn at this start.
-func New(cfg Config, boot, address string) *Keeper {
+// New returns a keeper that has ordered nothing yet.
+func New(cfg Config) *Keeper {
 	cfg.Now = clock.OrSystem(cfg.Now)
-	return &Keeper{
-		cfg:      cfg,
-		changing: map[string]change{},
-		holder: lease.NewHolder(cfg.Rows, lease.Config{
-			Pool: leasePool, Zone: leaseZone,
-			Self: lease.Identity{VM: cfg.VM, Process: boot, Address: address},
-			TTL:  leaseTTL, Renew: leaseRenew, Poll: leasePoll, Rank: cfg.Rank, Epoch: cfg.Epoch,
-		}),
-	}
+	return &Keeper{cfg: cfg, changing: map[string]change{}}
 }
 
-// Run contends for the lease and acts while it is held, until ctx ends.
-func (k *Keeper) Run(ctx context.Context) { k.holder.Run(ctx, k.lead) }
+var _ duties.Duty = (*Keeper)(nil)
 
-// lead acts for one tenure. A tenure that follows another first waits until no
-// order of the one before can count any more.
-func (k *Keeper) lead(ctx context.Context, l *lease.Lease) {
-	klog.InfoS("rolechange: lease taken", "fence", l.Fence())
+// Lead implements duties.Duty.
+func (k *Keeper) Lead(ctx context.Context, l *lease.Lease) {
 	k.balancers = map[string]*Balancer{}
-	defer klog.InfoS("rolechange: lease left", "fence", l.Fence())
-	if !l.First() && !loop.Sleep(ctx, k.cfg.Lease+settleMargin) {
-		return
-	}
 	for loop.Sleep(ctx, period) {
 		config := k.cfg.Services()
 		if config == nil {
--- a/rolechange/order.go
+++ b/rolechange/order.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/duties"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/lease"
@@ -55,9 +56,9 @@
 
 // order reads an engine's state and sends it one order.
 func (k *Keeper) order(ctx context.Context, l *lease.Lease, e *directory.Endpoint, to engine.Role) {
-	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	state, err := k.cfg.Engines.State(ctx, e)
+	asking, cancel := clock.WithTimeout(ctx, callTimeout)
+	state, err := k.cfg.Engines.State(asking, e)
+	cancel()
 	if err != nil {
 		klog.InfoS("rolechange: engine not asked, nothing ordered", "endpoint", e.ID, "err", err)
 		k.drop(e.ID)
@@ -71,20 +72,25 @@
 	if state.Busy || state.Role == to {
 		return // its registration lags, or another order is under way
 	}
-	authority, err := l.Authority()
-	if err != nil || authority.Remaining() < callTimeout {
-		k.drop(e.ID)
-		return
-	}
-	err = k.cfg.Engines.ChangeRole(ctx, e, Order{Role: to, Holder: k.cfg.VM, Fence: authority.Fence, Taken: state.Taken})
+	err = duties.Act(ctx, l, callTimeout, func(ctx context.Context, fence uint64) error {
+		return k.cfg.Engines.ChangeRole(ctx, e, Order{Role: to, Holder: k.cfg.VM, Fence: fence, Taken: state.Taken})
+	})
 	klog.InfoS("rolechange: ordered", "endpoint", e.ID, "zone", e.Zone, "from", state.Role, "to", to,
-		"fence", authority.Fence, "taken", state.Taken, "err", err)
-	var refused *RefusedError
-	if errors.As(err, &refused) {
+		"fence", l.Fence(), "taken", state.Taken, "err", err)
+	if certainlyNotTaken(err) {
 		k.drop(e.ID)
 	}
 }
 
+// certainlyNotTaken tells whether an order cannot have been taken: the engine refused it, or it was
+// not sent.
+func certainlyNotTaken(err error) bool {
+	var refused *RefusedError
+	var lost *lease.LostError
+	var late *duties.TooLateError
+	return errors.As(err, &refused) || errors.As(err, &lost) || errors.As(err, &late)
+}
+
 func (k *Keeper) note(e *directory.Endpoint, to engine.Role) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -220,19 +220,6 @@
 	r.onChange(r.Others())
 }
 
-// Rank is this VM's place among all by name, from zero.
-func (r *Roster) Rank() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	rank := 0
-	for name := range r.others {
-		if name < r.self.Name {
-			rank++
-		}
-	}
-	return rank
-}
-
 // Others returns the other VMs, in no order.
 func (r *Roster) Others() []VM {
 	r.mu.Lock()
