--- a/duties/usage/ledger.go
+++ b/duties/usage/ledger.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	// sealSlack is how long after its end a window is sealed: answers that came just before it
 	// may still wait for their turn.
 	sealSlack = 100 * time.Millisecond
+	// forever is the last window of a process that has ended.
+	forever = Window(math.MaxUint64)
 )
 
 // Self names the own process.
@@ -103,6 +106,13 @@
 	l.own.forget(last - keptWindows)
 }
 
+// Close seals all windows to come: this process counts nothing more.
+func (l *Ledger) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own.seal(forever)
+}
+
 // Due returns what to tell in this round: of the own process, and, with forward, of the others of
 // the own zone.
 func (l *Ledger) Due(forward bool) []*usagepb.Account {
--- a/duties/usage/ledger_test.go
+++ b/duties/usage/ledger_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// A process that has ended is not waited for.
+func TestClosedLedgerIsNotMissed(t *testing.T) {
+	c := newClocks()
+	a, keeper := c.ledger("a"), c.ledger("keeper")
+	a.Began("north")
+	carry(a, false, never, keeper)
+	a.Close()
+	for range tellRounds {
+		carry(a, false, never, keeper)
+	}
+	c.pass(length + sealSlack)
+	if counts, missing := total(100, keeper); !cmp.Equal(counts, map[string]int{"north": 1}) || missing != nil {
+		t.Errorf("got %v, missing %v", counts, missing)
+	}
+	c.pass(2 * length)
+	if _, missing := total(102, keeper); missing != nil {
+		t.Errorf("later missing %v", missing)
+	}
+}
+
 // carry takes one round of a ledger to others, as datagrams do.
 func carry(from *Ledger, forward bool, lost func() bool, to ...*Ledger) {
 	for _, a := range from.Due(forward) {
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -25,6 +25,19 @@
 	return list
 }
 
+// lastWord is how long this process goes on to tell the others what it counted last: some rounds of
+// datagrams.
+const lastWord = 100 * time.Millisecond
+
+// closeUsage tells the others that this process counts nothing more, so that no report waits for it.
+func (g *Gateway) closeUsage() {
+	if g.usage == nil {
+		return
+	}
+	g.usage.Close()
+	time.Sleep(lastWord)
+}
+
 // keepers are the addresses of the VMs that hold accounts of usage.
 func (g *Gateway) keepers() []string {
 	var list []string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -351,6 +351,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.InfoS("gateway: requests were still open at the end of the grace period", "err", err)
 	}
+	g.closeUsage()
 	klog.InfoS("gateway: stopped", "took", time.Since(began))
 }
 
