--- a/directory/directory.go
+++ b/directory/directory.go
@@ -35,6 +35,8 @@
 	Draining bool
 	// WarmIn is how long it is still slow after its start, when the row was written.
 	WarmIn time.Duration
+	// Revocable endpoints cost less and may be taken away at short notice, all of a zone at once.
+	Revocable bool
 	// Role is an engine's role; empty for a plain service.
 	Role engine.Role
 	// Models are the models that an engine has loaded, with their versions.
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/springweir/springweir/duties"
+	"github.com/springweir/springweir/duties/scaling"
 	"github.com/springweir/springweir/duties/usage"
 	"github.com/springweir/springweir/feedshare"
 	"github.com/springweir/springweir/relay"
@@ -22,6 +23,11 @@
 			Length: g.settings.Duties.UsageWindow, Late: g.settings.Duties.UsageLate, Day: day,
 		}))
 	}
+	if g.settings.Duties.Scaling {
+		list = append(list, scaling.New(scaling.Config{
+			VM: g.settings.VM, Rows: g.platform.Rows, Directory: g.directory, Services: g.state.config.Load, Platform: g.platform.Scaling,
+		}))
+	}
 	return list
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/duties"
+	"github.com/springweir/springweir/duties/scaling"
 	"github.com/springweir/springweir/duties/usage"
 	"github.com/springweir/springweir/feedshare"
 	"github.com/springweir/springweir/freshness"
@@ -80,6 +81,8 @@
 	// UsageWindow is the length of the windows in which requests are counted, and UsageLate how long
 	// after its end a window's report is of use. Zero reports none.
 	UsageWindow, UsageLate time.Duration
+	// Scaling tells that the number of endpoints may be ordered.
+	Scaling bool
 }
 
 // Platform is what the gateway needs of the platform it runs on.
@@ -93,6 +96,7 @@
 	Upstream   relay.Upstream
 	Engines    rolechange.Engines
 	Usage      usage.Platform
+	Scaling    scaling.Platform
 	Caches     Caches
 	Codec      Codec
 	// Config is the row of the operators' configuration, and Endpoints the table
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,9 @@
 func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WritePrometheus(w, true)
 	metrics.WriteGaugeUint64(w, "springweir_config_version", g.state.version())
+	if age, known := g.freshness.Age(); known {
+		metrics.WriteGaugeFloat64(w, "springweir_config_age_seconds", age.Seconds())
+	}
 	metrics.WriteGaugeUint64(w, "springweir_endpoints", uint64(g.directory.Snapshot().Len()))
 	metrics.WriteGaugeUint64(w, "springweir_peers", uint64(len(g.roster.Others())))
 	metrics.WriteGaugeUint64(w, "springweir_uptime_seconds", uint64(time.Since(g.started).Seconds()))
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -101,6 +101,19 @@
 	Models []string
 }
 
+// Scale is within what the number of a service's endpoints may be changed.
+type Scale struct {
+	// Min and Max bound the endpoints of one zone, revocable ones included.
+	Min, Max int
+	// Boot is how long it takes from an order until a new endpoint serves.
+	Boot time.Duration
+	// RevocablePrice is what a second of a revocable endpoint costs, as a part of another's; zero
+	// where there are none.
+	RevocablePrice float64
+	// ZonePrices are what a second of an endpoint costs in each zone, relative to each other.
+	ZonePrices map[string]float64
+}
+
 // Service is a group of endpoints that do the same work.
 type Service struct {
 	Name       string
@@ -109,6 +122,8 @@
 	MaxConns int
 	// Engine is set when the endpoints are model engines.
 	Engine *Engine
+	// Scale is set where the number of endpoints may be changed.
+	Scale *Scale
 }
 
 // Limits bound what a caller may send.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,6 +22,8 @@
 	InTime float64 `key:"in-time"`
 	// ComeBack is when a caller that was refused is told to try again, at the least.
 	ComeBack time.Duration `key:"come-back"`
+	// OrderEndpoints lets the system order how many endpoints there are of services that allow it.
+	OrderEndpoints bool `key:"order-endpoints"`
 }
 
 var inGateway = []Kind{GatewayKind}
@@ -33,6 +35,7 @@
 	{Name: "prefill-share", Type: Percent, In: inGateway, Default: "60%", Min: "0%", Max: "95%", Doc: "Part of a service's engines that prefill before there is any work; after that the work decides."},
 	{Name: "in-time", Type: Percent, In: inGateway, Default: "90%", Min: "10%", Max: "1000%", Doc: "Part of a route's objective within which the first event must be predicted for a request to be taken."},
 	{Name: "come-back", Type: Duration, In: inGateway, Default: "100ms", Min: "1ms", Max: "1m", Doc: "Least time after which a refused caller is told to come back."},
+	{Name: "order-endpoints", Type: Flag, In: inGateway, Default: "no", Doc: "Whether the number of endpoints is ordered where the platform lets it be changed."},
 }
 
 // DefaultGateway returns the settings of an empty file.
