Ask the kernel for suspensions only when the time of day has moved

Cause: each reading of the product's clock made three system calls, and a request makes some thirty readings: 12 in 100 of a gateway's processor time under load (profile of BenchmarkPromptRequest). Change: during a suspension the time of day goes on while the steady clock does not, and time.Now gives both. The kernel is asked only when they have moved by 2 ms against each other. clock.BenchmarkNow: 0.6 us, now 0.1 us.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -12,7 +12,7 @@
 )
 
 // system is the clock of this process.
-var system = newClock(readSystem)
+var system = newWatchedClock(readSystem)
 
 // Now is the time. Times of this clock compare with each other, and with those of time.Now
 // as long as the VM has not been suspended since the process started. Only the difference of
@@ -62,6 +62,12 @@
 // testing/synctest holds for it too.
 type clock struct {
 	read func() reading
+	// watched tells that the time of day shows when to read: during a suspension it goes on, and the
+	// steady clock does not. Both come with each time.Now, at a sixth of the price. It is not set
+	// where read is made up.
+	watched bool
+	// apart is how far the two were apart when the kernel was last asked, in nanoseconds.
+	apart atomic.Int64
 	// base is how far the two clocks of the kernel were apart at the start, and suspended
 	// how much more that has become.
 	//
@@ -80,7 +86,34 @@
 	return c
 }
 
-func (c *clock) now() time.Time { return time.Now().Add(c.suspension()) }
+// newWatchedClock returns a clock that asks the kernel only when the time of day has moved against
+// the steady clock.
+func newWatchedClock(read func() reading) *clock {
+	c := newClock(read)
+	c.watched = true
+	c.apart.Store(apart(time.Now()))
+	return c
+}
+
+// shortest is the least suspension that is looked for. Nothing rests on shorter ones.
+const shortest = 2 * time.Millisecond
+
+// began is what the steady clock is counted from here.
+var began = time.Now()
+
+// apart is how far the time of day is from the steady clock.
+func apart(t time.Time) int64 { return t.UnixNano() - int64(t.Sub(began)) }
+
+func (c *clock) now() time.Time {
+	t := time.Now()
+	moved := apart(t)
+	if c.watched && time.Duration(moved-c.apart.Load()).Abs() < shortest {
+		return t.Add(time.Duration(c.suspended.Load()))
+	}
+	suspended := c.suspension()
+	c.apart.Store(moved) // after the suspension is known to all
+	return t.Add(suspended)
+}
 
 // suspension is how long the VM was suspended since the start of the process.
 func (c *clock) suspension() time.Duration {
