Let streams that must not run again go on at an engine that holds a copy

Change: such a stream is sent with the address of another engine, to which the first one sends what it holds of the run as it grows (Kv-Backup). When the stream breaks off, or is silent for four of the longest pauses in time, the run goes on there after the last event that the caller holds. It is the same run, so that it costs neither an attempt nor a retry; it never runs anew from its beginning. Ways: (a) none, as before; (b) moving runs when their engine says that it leaves (kv-move), which saves none of those that crash; (c) copies, which serve crash, leaving and cut alike.

--- a/placement/commit.go
+++ b/placement/commit.go
@@ -47,7 +47,7 @@
 	busy := noEndpoint("the engine is on trial", d.p.tuning.ComeBack)
 	w := &watch{p: d.p, chunks: chunks, placed: d.now, expect: o.first}
 	serveWork := work{runs: 1, kvTokens: tokens}
-	if o.prefill == nil && d.try.Handle == nil {
+	if o.prefill == nil && !d.imports() {
 		serveWork.prefill = o.toDo()
 	}
 	var ok bool
@@ -64,12 +64,12 @@
 		}
 		return relay.Plan{}, busy
 	}
-	if o.prefill == nil && d.try.Handle == nil {
+	if o.prefill == nil && !d.imports() {
 		w.serve.copied = o.copyFrom != nil
 		d.p.books.place(w.serve.book, chunks, w.serve.readyAt())
 	}
 	d.log(o, w)
-	return relay.Plan{Serve: o.serve, Prefill: o.prefill, CopyFrom: o.copyFrom, Expect: o.first, Watch: w}, nil
+	return relay.Plan{Serve: o.serve, Prefill: o.prefill, CopyFrom: o.copyFrom, Backup: d.backup(o.serve, tokens), Expect: o.first, Watch: w}, nil
 }
 
 // log tells of a choice and what decided it.
--- a/placement/engines.go
+++ b/placement/engines.go
@@ -35,6 +35,8 @@
 	tokens := d.promptTokens()
 	var best option
 	switch {
+	case d.try.Resume != nil:
+		best = d.resumed()
 	case d.try.Handle != nil:
 		best = d.imported()
 	case d.try.Whole:
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -23,12 +23,14 @@
 		return failed
 	case len(j.tried) >= j.relay.cfg.MaxPlaces:
 		return failed
+	case j.goOn(ctx, failed):
+		return nil
+	case j.ran != failure.NotRun && !j.req.Route.Repeatable():
+		return failed
 	case unreached(failed):
 		return nil
 	case j.result.Attempts >= max(1, j.req.Route.MaxAttempts):
 		return failed
-	case failed.Ran != failure.NotRun && !j.req.Route.Repeatable():
-		return failed
 	case !j.relay.cfg.Budget(j.req.Service).Take():
 		refusedRetry(failure.RetryBudget)
 		klog.InfoS("relay: not tried elsewhere, the budget of retries is spent", "request", j.req.ID, "service", j.req.Service, "attempts", j.result.Attempts)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
@@ -74,6 +75,10 @@
 	// counted; nil if there is none.
 	metered   bool
 	unsettled func(ran bool)
+	// backup is the engine to which the present attempt's cache is sent, and copied what it holds of
+	// the run, once that is to be gone on from.
+	backup *directory.Endpoint
+	copied *KVHandle
 	// spare is an endpoint's whole answer that says it failed, kept while another
 	// endpoint is asked.
 	spare *spareAnswer
@@ -122,10 +127,14 @@
 	if j.cacheLost() {
 		j.handle = nil
 	}
-	return Try{
+	try := Try{
 		Number: len(j.tried) + j.replans, Tried: j.tried, Handle: j.handle,
 		Whole: j.prefilled && j.handle == nil,
 	}
+	if j.copied != nil {
+		try.Resume = j.copied.Endpoint
+	}
+	return try
 }
 
 // attempt makes one attempt, with its prefill elsewhere if the plan has one.
@@ -149,10 +158,13 @@
 			return failed
 		}
 	}
-	a.Import = j.handle
+	a.Import, a.Backup = j.handle, plan.Backup
 	if plan.Prefill == nil {
 		a.CopyFrom = plan.CopyFrom
 	}
+	if j.copied != nil {
+		a.Import = j.copied
+	}
 	failed := j.send(ctx, a, plan)
 	j.settle(failed)
 	if j.withdrawn != nil {
@@ -161,7 +173,13 @@
 	}
 	plan.Watch.Finished(failed, gaveUp(ctx, failed))
 	j.ended(ctx, plan.Serve, failed)
-	j.count(failed)
+	j.backup = plan.Backup
+	if j.copied != nil {
+		j.resumed(failed)
+		j.copied = nil
+	} else {
+		j.count(failed)
+	}
 	if failed != nil {
 		j.tried = append(j.tried, plan.Serve.ID)
 	}
@@ -194,6 +212,9 @@
 	if j.spare != nil {
 		return max(2*plan.Expect, route.Objective)
 	}
+	if plan.Backup != nil {
+		return j.backupStall()
+	}
 	if !route.Repeatable() || j.result.Attempts+1 >= route.MaxAttempts || route.Objective == 0 {
 		return 0
 	}
@@ -205,5 +226,8 @@
 // beyond the route's own limit makes the answer late, and a new start costs
 // about as much again.
 func (j *job) gap() time.Duration {
+	if !j.req.Route.Repeatable() {
+		return max(backupGaps*j.req.Route.EventGap, j.relay.cfg.MinStall)
+	}
 	return max(2*j.req.Route.EventGap, j.relay.cfg.MinStall)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -88,6 +88,9 @@
 	if a.HeldEvents > 0 {
 		call += fmt.Sprint(" after ", a.HeldEvents)
 	}
+	if a.Backup != nil {
+		call += " backed up by " + a.Backup.ID
+	}
 	next := s.sends[0]
 	s.mu.Unlock()
 	time.Sleep(next.connect)
@@ -183,7 +186,8 @@
 
 // plans is a Planner that hands out endpoints in order. Each plan names the
 // serving endpoint, after the prefilling one and a slash if there is one. An engine to
-// copy from stands before all, with a colon.
+// copy from stands before all, with a colon, and one that holds a copy of the run after all, with a
+// plus.
 type plans struct {
 	list  []string
 	tries []Try
@@ -211,6 +215,12 @@
 	p.list = p.list[1:]
 	p.open++
 	plan := Plan{Watch: (*planWatch)(p)}
+	if rest, backup, copied := strings.Cut(next, "+"); copied {
+		plan.Backup, next = p.endpoint(backup), rest
+	}
+	if try.Resume != nil && next != try.Resume.ID {
+		return Plan{}, &failure.Request{Code: failure.Internal, Message: "the run is to go on at " + try.Resume.ID}
+	}
 	if from, rest, copies := strings.Cut(next, ":"); copies {
 		plan.CopyFrom, next = p.endpoint(from), rest
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -94,6 +94,8 @@
 	// CopyFrom is an engine from which the endpoint first copies what it lacks of the
 	// prompt's KV cache, before it prefills the rest, or is nil.
 	CopyFrom *directory.Endpoint
+	// Backup is an engine to which the endpoint sends what it holds of the run as that grows, or nil.
+	Backup *directory.Endpoint
 	// Ready is called by the Upstream when all that is left is to write: once there is a
 	// connection, just before the first byte. With a failure nothing is written, and that is the
 	// attempt's failure.
@@ -151,6 +153,8 @@
 	// CopyFrom, if set, holds more of the prompt's KV cache than the engine that
 	// prefills, which copies that first.
 	CopyFrom *directory.Endpoint
+	// Backup, if set, is to hold a copy of the run, from which it goes on if Serve is lost.
+	Backup *directory.Endpoint
 	// Expect is when the first sign of an answer is predicted, from now.
 	Expect time.Duration
 	// Watch follows the attempt.
@@ -181,6 +185,8 @@
 	Handle *KVHandle
 	// Whole asks for an engine that prefills and decodes.
 	Whole bool
+	// Resume, if set, is the engine that holds a copy of the run, which is to go on there.
+	Resume *directory.Endpoint
 }
 
 // Planner decides where an attempt goes. The error is a *failure.Request with
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -97,6 +97,8 @@
 	HandleTTL time.Duration
 	// RoleChange is how long an engine is away when it changes its role.
 	RoleChange time.Duration
+	// Backups tells that an engine can send what it holds of a run to another one as that grows.
+	Backups bool
 	// Models are the names of the models served.
 	Models []string
 }
