--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -178,7 +178,7 @@
 	}
 	n, now := 0, s.cfg.Now()
 	for _, c := range have {
-		n += c.all()
+		n += c.Ordinary + c.Revocable
 	}
 	if n > state.most {
 		state.most, state.since = n, now
--- a/duties/usage/reporter.go
+++ b/duties/usage/reporter.go
@@ -48,6 +48,8 @@
 	EpochSince func() time.Time
 	// Names returns the names of organisations by their hashes.
 	Names func() map[uint64]string
+	// Tolerance is by which part a report may be off.
+	Tolerance float64
 	// Length is that of a window, and Late is how long after its end a report is of use.
 	Length, Late time.Duration
 	// Day is the time of day.
@@ -62,6 +64,10 @@
 	// patiencePart is the part of the time for a report up to which a VM that has not sealed its
 	// account is waited for. What is left is for the store and the platform, which may be slow.
 	patiencePart = 0.6
+	// fewPart is the part of the tolerance that VMs which are waited for only shortly may make up, and
+	// fewPatience that time.
+	fewPart     = 0.5
+	fewPatience = time.Second
 	// callTimeout bounds a report: within it the report is taken or will not be.
 	callTimeout = 800 * time.Millisecond
 	// retryPause is the mean pause after a report that was not taken.
@@ -212,9 +218,8 @@
 	for _, accounts := range r.cfg.Keepers.Read(ctx, w) {
 		s.add(accounts)
 	}
-	waited := r.cfg.Day().Sub(w.end(r.cfg.Length))
 	missing := s.missing()
-	if len(missing) > 0 && waited < time.Duration(patiencePart*float64(r.cfg.Late)) {
+	if len(missing) > 0 && r.cfg.Day().Sub(w.end(r.cfg.Length)) < r.patience(len(missing), s.vms()) {
 		return nil, false
 	}
 	if len(missing) > 0 {
@@ -223,6 +228,15 @@
 	return r.named(w, s.counts()), true
 }
 
+// patience is how long after a window's end VMs that have not sealed it are waited for. What some few
+// may still have counted lies within the tolerance, and a report that has gone out cannot be lost.
+func (r *Reporter) patience(missing, vms int) time.Duration {
+	if float64(missing) <= fewPart*r.cfg.Tolerance*float64(vms) {
+		return fewPatience
+	}
+	return time.Duration(patiencePart * float64(r.cfg.Late))
+}
+
 // named gives a sum by names.
 func (r *Reporter) named(w Window, counts map[uint64]uint64) map[string]uint64 {
 	names := r.cfg.Names()
--- a/duties/usage/sum.go
+++ b/duties/usage/sum.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// vms is the number of VMs of which anything is known.
+func (s *sum) vms() int {
+	names := map[string]bool{}
+	for _, p := range s.processes {
+		names[p.vm] = true
+	}
+	return len(names)
+}
+
 // missing lists the VMs that may still count something in the window: those whose process last heard
 // of has not sealed it. An earlier process of a VM has ended.
 func (s *sum) missing() []string {
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -20,7 +20,7 @@
 		list = append(list, usage.NewReporter(usage.Config{
 			VM: g.settings.VM, Rows: g.platform.Rows, Ledger: g.usage, Keepers: usage.NewClient(g.network, g.keepers),
 			Platform: g.platform.Usage, EpochSince: g.platform.EpochSince, Names: g.state.names.byHash,
-			Length: g.settings.Duties.UsageWindow, Late: g.settings.Duties.UsageLate, Day: day,
+			Tolerance: g.settings.Duties.UsageTolerance, Length: g.settings.Duties.UsageWindow, Late: g.settings.Duties.UsageLate, Day: day,
 		}))
 	}
 	if g.settings.Duties.Scaling {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,8 @@
 	// UsageWindow is the length of the windows in which requests are counted, and UsageLate how long
 	// after its end a window's report is of use. Zero reports none.
 	UsageWindow, UsageLate time.Duration
+	// UsageTolerance is by which part a report may be off.
+	UsageTolerance float64
 	// Scaling tells that the number of endpoints may be ordered.
 	Scaling bool
 }
