--- a/relay/backup_test.go
+++ b/relay/backup_test.go
@@ -70,7 +70,7 @@
 func TestBackupThatHasStartedAgain(t *testing.T) {
 	w := world{
 		route: chat, plans: []string{"a+b", "b"}, sends: []step{cutAfter(waits, e(1)), slowly(ok(e(2)), waits, 0)},
-		then:  []happening{{waits + changes, func(s *surroundings) { s.planner.dir.Remove("b") }}},
+		then: []happening{{waits + changes, func(s *surroundings) { s.planner.dir.Remove("b") }}},
 	}
 	got := play(t, w)
 	if got.Body != e(1) || got.Code != failure.AnswerTruncated {
