Order endpoints: revocable ones for the base, ordinary ones for what a zone's loss would leave

Change: the balancer of roles keeps the chosen part and restores it when engines have come or gone (not when one of a small fleet does). The planner insures the whole base against the loss of any one zone's revocable engines, keeps a tenth of it ordinary, lets ordinary ones go only once others serve, and adds none for what is about to serve. Orders are given up after 0.4 s, so they fit more often into what is left of an authority. On by default (order-endpoints).

--- a/duties/scaling/plan.go
+++ b/duties/scaling/plan.go
@@ -12,6 +12,13 @@
 // Count is a number of endpoints of each kind.
 type Count struct{ Ordinary, Revocable int }
 
+// Zone is what there is of a service in a zone.
+type Zone struct {
+	Count
+	// Coming are revocable endpoints that were ordered and may still be starting.
+	Coming int
+}
+
 // Settings bound a Planner.
 type Settings struct {
 	// Floor is the part of the base that is kept of ordinary endpoints, whatever there is of others.
@@ -27,7 +34,7 @@
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Floor: 0.2, Spare: 2, Insured: 0.8, Calm: 2 * time.Second}
+	return Settings{Floor: 0.1, Spare: 2, Insured: 1, Calm: 2 * time.Second}
 }
 
 // Planner says how many endpoints of a service there should be: as many revocable ones as are of use,
@@ -44,8 +51,8 @@
 // NewPlanner returns a planner of a service that needs base endpoints.
 func NewPlanner(set Settings, base int) *Planner { return &Planner{set: set, base: base} }
 
-// Plan returns what is wanted in each zone, given what serves there now.
-func (p *Planner) Plan(now time.Time, scale *routes.Scale, have map[string]Count) map[string]Count {
+// Plan returns what is wanted in each zone, given what there is now.
+func (p *Planner) Plan(now time.Time, scale *routes.Scale, have map[string]Zone) map[string]Count {
 	zones := byPrice(scale, have)
 	want := map[string]Count{}
 	spare := p.spare(scale, len(zones))
@@ -54,24 +61,47 @@
 		// Room is never made for more ordinary ones by taking others away.
 		want[zone] = Count{Revocable: max(min(h.Revocable, spare), min(spare, scale.Max-h.Ordinary))}
 	}
-	p.spread(scale, zones, have, want, p.ordinary(scale, have))
-	p.keep(now, have, want)
+	p.spread(scale, zones, have, want, p.ordinary(now, scale, have))
 	return want
 }
 
-// ordinary is how many ordinary endpoints are needed in all zones together.
-func (p *Planner) ordinary(scale *routes.Scale, have map[string]Count) int {
-	revocable, most, zones := 0, 0, 0
-	for _, c := range have {
-		revocable += c.Revocable
-		most = max(most, c.Revocable)
-		if c.Revocable > 0 {
+// ordinary is how many ordinary endpoints there should be in all zones together. Those that revocable
+// ones are to replace go only once these serve; none are added for what is about to serve.
+func (p *Planner) ordinary(now time.Time, scale *routes.Scale, have map[string]Zone) int {
+	there := 0
+	serving, expected := map[string]int{}, map[string]int{}
+	for zone, h := range have {
+		there += h.Ordinary
+		serving[zone] = h.Revocable
+		expected[zone] = h.Revocable + h.Coming
+	}
+	enough := p.needed(scale, serving)
+	if there <= enough {
+		p.enough = time.Time{}
+		return max(there, p.needed(scale, expected))
+	}
+	if p.enough.IsZero() {
+		p.enough = now
+	}
+	if now.Sub(p.enough) < p.set.Calm {
+		return there
+	}
+	return enough
+}
+
+// needed is how many ordinary endpoints are needed beside revocable ones, given by zone.
+func (p *Planner) needed(scale *routes.Scale, revocable map[string]int) int {
+	all, most, zones := 0, 0, 0
+	for _, n := range revocable {
+		all += n
+		most = max(most, n)
+		if n > 0 {
 			zones++
 		}
 	}
-	needed := max(p.part(p.set.Floor), p.base-revocable, scale.Min*len(have))
+	needed := max(p.part(p.set.Floor), p.base-all, scale.Min*len(revocable))
 	if zones > 1 {
-		needed = max(needed, p.part(p.set.Insured)-(revocable-most))
+		needed = max(needed, p.part(p.set.Insured)-(all-most))
 	}
 	return needed
 }
@@ -93,7 +123,7 @@
 }
 
 // spread gives ordinary endpoints to the zones by turns, the cheapest first, as far as there is room.
-func (p *Planner) spread(scale *routes.Scale, zones []string, have, want map[string]Count, number int) {
+func (p *Planner) spread(scale *routes.Scale, zones []string, have map[string]Zone, want map[string]Count, number int) {
 	for given := true; given && number > 0; {
 		given = false
 		for _, zone := range zones {
@@ -108,30 +138,8 @@
 	}
 }
 
-// keep keeps ordinary endpoints that are there until they have not been needed for a while.
-func (p *Planner) keep(now time.Time, have, want map[string]Count) {
-	unneeded := false
-	for zone, w := range want {
-		unneeded = unneeded || have[zone].Ordinary > w.Ordinary
-	}
-	switch {
-	case !unneeded:
-		p.enough = time.Time{}
-		return
-	case p.enough.IsZero():
-		p.enough = now
-	}
-	if now.Sub(p.enough) >= p.set.Calm {
-		return
-	}
-	for zone, w := range want {
-		w.Ordinary = max(w.Ordinary, have[zone].Ordinary)
-		want[zone] = w
-	}
-}
-
 // byPrice returns the zones, the cheapest first.
-func byPrice(scale *routes.Scale, have map[string]Count) []string {
+func byPrice(scale *routes.Scale, have map[string]Zone) []string {
 	var zones []string
 	for zone := range have {
 		zones = append(zones, zone)
--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -72,7 +72,7 @@
 	// basePause is how often the base is looked for.
 	basePause = 500 * time.Millisecond
 	// callTimeout bounds an order: within it the order is taken or will not be.
-	callTimeout = 800 * time.Millisecond
+	callTimeout = 400 * time.Millisecond
 	// scarcePause is how long after there were none to be had the next order goes out.
 	scarcePause = 2 * time.Second
 	// bootSlack is how much longer than it should an endpoint may take to start before it is
@@ -147,7 +147,7 @@
 }
 
 // planner returns the planner of a service, or nil while its base is not known.
-func (s *Scaler) planner(ctx context.Context, service *routes.Service, have map[string]Count) *Planner {
+func (s *Scaler) planner(ctx context.Context, service *routes.Service, have map[string]Zone) *Planner {
 	state := s.services[service.Name]
 	if state == nil {
 		state = &serviceState{}
@@ -171,7 +171,7 @@
 
 // base is the number of endpoints that the service had at first: what its operators installed. It
 // stands in the store, since later holders find other numbers. Zero is not known yet.
-func (s *Scaler) base(ctx context.Context, service string, state *serviceState, have map[string]Count) (int, error) {
+func (s *Scaler) base(ctx context.Context, service string, state *serviceState, have map[string]Zone) (int, error) {
 	base, known, err := readBase(ctx, s.cfg.Rows, service)
 	if err != nil || known {
 		return base, err
@@ -194,8 +194,8 @@
 }
 
 // count is what there is of a service in each zone.
-func (s *Scaler) count(service *routes.Service) map[string]Count {
-	have := map[string]Count{}
+func (s *Scaler) count(service *routes.Service) map[string]Zone {
+	have := map[string]Zone{}
 	for _, e := range s.cfg.Directory.Snapshot().All() {
 		if e.Service != service.Name {
 			continue
@@ -210,9 +210,21 @@
 		}
 		have[e.Zone] = c
 	}
+	for zone, h := range have {
+		state := s.zones[zoneKey{service.Name, zone, true}]
+		if state != nil && s.starting(service, state) {
+			h.Coming = max(0, state.ordered-h.Revocable)
+			have[zone] = h
+		}
+	}
 	return have
 }
 
+// starting tells whether endpoints that were ordered may still be starting.
+func (s *Scaler) starting(service *routes.Service, state *zoneState) bool {
+	return s.cfg.Now().Sub(state.at) <= service.Scale.Boot+bootSlack
+}
+
 // order asks for a number of one kind, unless that is what there is or what was asked for lately.
 func (s *Scaler) order(ctx context.Context, l *lease.Lease, service *routes.Service, zone string, revocable bool, have, want int) {
 	key := zoneKey{service.Name, zone, revocable}
@@ -222,8 +234,7 @@
 		s.zones[key] = state
 	}
 	now := s.cfg.Now()
-	settled := now.Sub(state.at) > service.Scale.Boot+bootSlack
-	if now.Before(state.next) || want == state.ordered && (have == want || !settled) {
+	if now.Before(state.next) || want == state.ordered && (have == want || s.starting(service, state)) {
 		return
 	}
 	err := duties.Act(ctx, l, callTimeout, func(ctx context.Context, fence uint64) error {
--- a/rolechange/balance.go
+++ b/rolechange/balance.go
@@ -28,6 +28,9 @@
 	// Room is the part of the slots that may be taken, once an engine that decodes
 	// has left, for it to be moved; Full is the part above which one is moved back.
 	Room, Full float64
+	// Drift is how far the part that prefills may be from the chosen one, once engines have come or
+	// gone, before that is restored. Engines that come have the role the platform started them with.
+	Drift float64
 	// MinShare and MaxShare bound the part that prefills. Mixes come and go within
 	// seconds, a change takes as long, and its author may die before the next one.
 	MinShare, MaxShare float64
@@ -45,6 +48,7 @@
 		Busy:     60 * time.Millisecond,
 		Room:     0.35,
 		Full:     0.8,
+		Drift:    0.08,
 		MinShare: 0.4,
 		MaxShare: 0.67,
 		Pause:    4 * time.Second,
@@ -65,6 +69,10 @@
 	at            time.Time
 	worked        bool
 	moved         time.Time
+	// share is the part of the engines that was chosen to prefill, and size the number of engines
+	// when that part was last found.
+	share float64
+	size  int
 }
 
 // NewBalancer returns a balancer that has seen nothing.
@@ -74,22 +82,42 @@
 func (b *Balancer) Target(now time.Time, shape Shape, p Pressure) int {
 	b.observe(now, p)
 	if !b.worked {
-		return b.bounded(b.before(shape), shape)
+		return b.choose(b.bounded(b.part(b.set.Share, shape), shape), shape)
 	}
-	want := b.bounded(shape.Prefill, shape)
+	want := b.bounded(b.restored(shape), shape)
 	if want != shape.Prefill || now.Sub(b.moved) < b.set.Pause {
 		return want
 	}
 	want = b.bounded(shape.Prefill+b.step(shape, p), shape)
 	if want != shape.Prefill {
 		b.moved = now
+		b.choose(want, shape)
 	}
 	return want
 }
 
-// before is how many engines should prefill while there is no work.
-func (b *Balancer) before(shape Shape) int {
-	want := int(math.Round(b.set.Share * float64(shape.size())))
+// choose notes the part of a fleet that is to prefill.
+func (b *Balancer) choose(prefill int, shape Shape) int {
+	b.share, b.size = float64(prefill)/float64(max(1, shape.size())), shape.size()
+	return prefill
+}
+
+// restored is how many engines prefill, or should again after others have come or gone.
+func (b *Balancer) restored(shape Shape) int {
+	if b.size == 0 {
+		return b.choose(shape.Prefill, shape)
+	}
+	drift := math.Abs(float64(shape.Prefill) - b.share*float64(shape.size()))
+	if shape.size() == b.size || drift <= b.set.Drift*float64(shape.size()) {
+		b.size = shape.size()
+		return shape.Prefill
+	}
+	return b.part(b.share, shape)
+}
+
+// part is a part of the engines, or fewer where that is more than any load needs.
+func (b *Balancer) part(share float64, shape Shape) int {
+	want := int(math.Round(share * float64(shape.size())))
 	if want > b.set.Enough {
 		return max(shape.Prefill, b.set.Enough)
 	}
--- a/rolechange/balance_test.go
+++ b/rolechange/balance_test.go
@@ -120,3 +120,51 @@
 		t.Error("no engine was moved while prompts wait 200 ms")
 	}
 }
+
+// Engines that come start with a role of the platform's choice. The part that prefills is restored,
+// or bursts of prompts find fewer engines that prefill than before there were more of them.
+func TestShareIsRestoredOnceEnginesCame(t *testing.T) {
+	work := Pressure{Slots: 10, Running: 60, PrefillWait: time.Millisecond}
+	b := NewBalancer(DefaultBalance())
+	now, shape := time.Unix(100, 0), Shape{Prefill: 20, Decode: 37}
+	step := func() {
+		now = now.Add(300 * time.Millisecond)
+		prefill := b.Target(now, shape, work)
+		shape = Shape{Prefill: prefill, Decode: shape.size() - prefill}
+	}
+	b.Target(now, shape, Pressure{Slots: 10})
+	shape = Shape{Prefill: 34, Decode: 23}
+	step()
+	for i := range 40 {
+		if i%4 == 0 {
+			shape.Prefill++
+		} else {
+			shape.Decode++
+		}
+		step()
+	}
+	if part := float64(shape.Prefill) / float64(shape.size()); part < 0.52 || part > 0.68 {
+		t.Errorf("of %d engines %.2f prefill, want 0.6 within the drift", shape.size(), part)
+	}
+	shape.Prefill = max(0, shape.Prefill-20)
+	step()
+	if part := float64(shape.Prefill) / float64(shape.size()); part < 0.52 {
+		t.Errorf("after a loss of engines that prefill %.2f do, want 0.6 within the drift", part)
+	}
+}
+
+// One engine of a small fleet that goes, and comes back, moves none of the others: each move takes an
+// engine away for seconds.
+func TestOneEngineThatGoesMovesNoOther(t *testing.T) {
+	work := Pressure{Slots: 10, Running: 20, PrefillWait: time.Millisecond}
+	for _, lost := range []Shape{{Prefill: 6, Decode: 5}, {Prefill: 7, Decode: 4}} {
+		b := NewBalancer(DefaultBalance())
+		now := time.Unix(100, 0)
+		for _, shape := range []Shape{{Prefill: 7, Decode: 5}, lost, {Prefill: 7, Decode: 5}} {
+			now = now.Add(10 * time.Second)
+			if got := b.Target(now, shape, work); got != shape.Prefill {
+				t.Errorf("%+v: %d should prefill, want no change", shape, got)
+			}
+		}
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -35,7 +35,7 @@
 	{Name: "prefill-share", Type: Percent, In: inGateway, Default: "60%", Min: "0%", Max: "95%", Doc: "Part of a service's engines that prefill before there is any work; after that the work decides."},
 	{Name: "in-time", Type: Percent, In: inGateway, Default: "90%", Min: "10%", Max: "1000%", Doc: "Part of a route's objective within which the first event must be predicted for a request to be taken."},
 	{Name: "come-back", Type: Duration, In: inGateway, Default: "100ms", Min: "1ms", Max: "1m", Doc: "Least time after which a refused caller is told to come back."},
-	{Name: "order-endpoints", Type: Flag, In: inGateway, Default: "no", Doc: "Whether the number of endpoints is ordered where the platform lets it be changed."},
+	{Name: "order-endpoints", Type: Flag, In: inGateway, Default: "yes", Doc: "Whether the number of endpoints is ordered where the platform lets it be changed."},
 }
 
 // DefaultGateway returns the settings of an empty file.
