Ask a store that is away less often from VMs whom others tell of its return

At a start, 77 of 83 VMs asked for the verdicts: the first VM of a zone did not know yet that others would ask it, and its first question waited 10 s, in which it had no answer that it may pass on.

Ruled out: one pause for all tables of a VM (its tables are at different VMs; a shared pause would keep a table from asking that alone was cut off).

Change: VMs from the 12th place of the region on leave such a store alone for 6 s instead of 2, and begin their questions for confirmations at 0.8 s and go up to 8 s; the first question for changes waits as briefly as one of a VM that others ask.

--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -2,8 +2,7 @@
 // each other: in a large region the first VMs of a zone, in the order that package
 // loadshare has for its collectors, ask the platform's store, and the others ask these.
 // The calls to the store and the bytes from it then grow with the zones and the changes,
-// not with the VMs: 295 VMs that each followed two tables made 12,900 calls in 48 s while
-// hardly anything changed.
+// not with the VMs.
 //
 // Nothing is agreed on. A VM serves what it has read from the store itself, never what
 // another VM told it, and only while the store has answered it lately. A VM that gets
@@ -40,6 +39,10 @@
 	// as soon as there is one. Hundreds of VMs that ask a store which is down are calls
 	// for nothing.
 	rest = 2 * time.Second
+	// farRank is the place in the region from which a VM leaves such a store alone for farRest:
+	// those before it find the store back first, and tell it.
+	farRank = 12
+	farRest = 6 * time.Second
 	// storeSlack is what an answer of the store may take beyond the wait that was asked
 	// for. An older one is not passed on.
 	storeSlack = 700 * time.Millisecond
@@ -71,6 +74,8 @@
 	Before []string
 	// First is set on the VM that the others of the zone ask first.
 	First bool
+	// Rank is this VM's place among those of the region, from 0.
+	Rank int
 	// Elsewhere are VMs to ask when neither those before this one nor the store give an answer:
 	// the store may have turned away this VM, or its whole zone, and not them.
 	Elsewhere []string
@@ -100,6 +105,8 @@
 	// current is when the last question was asked that the store answered: no change told
 	// since is older.
 	current time.Time
+	// followed is set once the store was asked for changes.
+	followed bool
 	// from is where the last answer came from, for the log.
 	from string
 }
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -148,9 +148,12 @@
 	if pause := clock.Until(s.gatherUntil); pause > 0 {
 		loop.Sleep(ctx, pause)
 	}
-	if s.serves() {
+	if s.serves() || !s.followed {
+		// The first question of a VM that starts must not wait for long either: it may turn out to be
+		// the one that others ask, and passes on nothing until the store has answered.
 		wait = min(wait, s.settings.wait())
 	}
+	s.followed = true
 	asked := clock.Now()
 	changes, next, err := s.store.Changes(ctx, name, after, wait)
 	if err != nil {
@@ -248,10 +251,16 @@
 	}
 	s.cache.lost()
 	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_feed_lost_total{table=%q}`, s.table)).Inc()
-	if len(s.place().Before) > 0 {
-		clear(s.doubted)
-		s.restUntil, s.away = clock.Now().Add(loop.Jitter(rest)), err
+	place := s.place()
+	if len(place.Before) == 0 {
+		return
+	}
+	clear(s.doubted)
+	pause := rest
+	if place.Rank >= farRank {
+		pause = farRest
 	}
+	s.restUntil, s.away = clock.Now().Add(loop.Jitter(pause)), err
 }
 
 // answered notes where an answer came from.
--- a/feedshare/zone_test.go
+++ b/feedshare/zone_test.go
@@ -55,6 +55,9 @@
 	zones    int
 	// notices makes the VMs of a zone notice which of them are silent.
 	notices bool
+	// headStart is how much sooner the first VM of each zone starts, which knows of no other until then.
+	headStart time.Duration
+	begun     time.Time
 }
 
 type vm struct {
@@ -81,7 +84,7 @@
 // playZones runs n VMs in virtual time.
 func playZones(t *testing.T, z *zone, n int, steps func(z *zone)) {
 	synctest.Test(t, func(t *testing.T) {
-		z.t, z.store = t, memtable.New()
+		z.t, z.store, z.begun = t, memtable.New(), time.Now()
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		for i := range n {
@@ -91,6 +94,9 @@
 			running.Add(1)
 			go func() {
 				defer running.Done()
+				if v.index >= z.zones {
+					time.Sleep(z.headStart)
+				}
 				v.run(ctx)
 			}()
 		}
@@ -112,6 +118,9 @@
 // place is where the VM stands among those of its zone that are not known to be silent.
 func (v *vm) place() Place {
 	z := v.zone
+	if time.Since(z.begun) < z.headStart {
+		return Place{}
+	}
 	var before []string
 	first := true
 	for i := v.index % z.zones; i < v.index; i += z.zones {
@@ -129,7 +138,7 @@
 			elsewhere = append(elsewhere, fmt.Sprint(i))
 		}
 	}
-	return Place{Before: before, First: first, Elsewhere: elsewhere}
+	return Place{Before: before, First: first, Rank: v.index, Elsewhere: elsewhere}
 }
 
 // silentFor is how long the VM has said nothing to the others.
@@ -478,7 +487,7 @@
 		if late := z.unaware("a", "old"); late != "" {
 			t.Errorf("forgotten while the store is away: %s", late)
 		}
-		if n := z.asked() - before; n > 60*5 {
+		if n := z.asked() - before; n > 120 {
 			t.Errorf("%d questions in 5 s to a store that is away, by 60 VMs", n)
 		}
 		z.put("a", "new")
@@ -495,6 +504,19 @@
 	})
 }
 
+// VMs that start ask the first of their zone and not the store, also where that one started sooner and
+// did not know then that others would ask it: a first question that waits for long leaves it without
+// an answer that it may pass on.
+func TestVMsThatStartAskTheFirstOfTheirZone(t *testing.T) {
+	z := &zone{settings: Settings{Within: within, Gather: within / 12}, zones: 3, headStart: 100 * time.Millisecond}
+	playZones(t, z, 60, func(z *zone) {
+		time.Sleep(5 * time.Second)
+		if n := z.asked(); n > 30 {
+			t.Errorf("60 VMs asked the store %d questions in the first 5 s", n)
+		}
+	})
+}
+
 // What a VM was told by another it does not tell a third: only the store's answers count.
 func TestWhatWasToldIsNotPassedOn(t *testing.T) {
 	play(t, 3, func(z *zone) {
--- a/freshness/asker.go
+++ b/freshness/asker.go
@@ -35,9 +35,12 @@
 	// little use.
 	askTimeout = time.Second
 	// retryMin and retryMax bound the mean pause after questions that got no answer. All VMs ask
-	// while the store is away.
-	retryMin = 200 * time.Millisecond
-	retryMax = 2 * time.Second
+	// while the store is away, those beyond maxSteps less often: the others find it back first and
+	// tell them.
+	retryMin    = 200 * time.Millisecond
+	retryMax    = 2 * time.Second
+	farRetryMin = 800 * time.Millisecond
+	farRetryMax = 8 * time.Second
 )
 
 // Asker asks the store for a confirmation when nobody else has for a while. The VMs of a region do
@@ -70,6 +73,9 @@
 	age, known := a.tracker.Age()
 	if known {
 		a.waitsSince = time.Time{}
+		if age < a.settings.Ask {
+			a.failures = 0
+		}
 		return age >= a.patience()
 	}
 	if !a.tracker.Decides() {
@@ -100,6 +106,15 @@
 		return
 	}
 	klog.V(1).InfoS("freshness: the store gave no confirmation", "failures", a.failures, "err", err)
-	loop.Sleep(ctx, loop.Jitter(min(retryMin<<min(a.failures, 8), retryMax)))
+	loop.Sleep(ctx, loop.Jitter(a.pause()))
 	a.failures++
 }
+
+// pause is the mean pause after a question that got no answer.
+func (a *Asker) pause() time.Duration {
+	least, most := retryMin, retryMax
+	if a.settings.Rank() >= maxSteps {
+		least, most = farRetryMin, farRetryMax
+	}
+	return min(least<<min(a.failures, 8), most)
+}
--- a/freshness/asker_test.go
+++ b/freshness/asker_test.go
@@ -169,3 +169,25 @@
 		}
 	})
 }
+
+// While the store answers nobody, the VMs beyond the first few ask it rarely, and all are fresh again
+// soon after it is back.
+func TestFewAskWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var away atomic.Bool
+		f := newFleet(t, 80, func(int) bool { return away.Load() }, nowhere)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		away.Store(true)
+		before := f.calls()
+		time.Sleep(10 * time.Second)
+		if calls := f.calls() - before; calls > 420 {
+			t.Errorf("%d calls in 10 s to a store that is away, by 80 VMs", calls)
+		}
+		away.Store(false)
+		time.Sleep(time.Second)
+		if oldest := f.oldest(time.Second, 0, 9, 10, 79); oldest > 1500*time.Millisecond {
+			t.Errorf("1 s after the return knowledge is %v old", oldest)
+		}
+	})
+}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -49,7 +49,7 @@
 	for _, p := range g.exchange.Before(readersBefore) {
 		place.Before = append(place.Before, p.Address.String())
 	}
-	place.First = g.exchange.Collects()
+	place.First, place.Rank = g.exchange.Collects(), g.exchange.Rank()
 	for _, p := range g.exchange.Elsewhere(readersElsewhere) {
 		place.Elsewhere = append(place.Elsewhere, p.Address.String())
 	}
