--- a/rolechange/balance.go
+++ b/rolechange/balance.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// leastDrift is the number of engines that prefill beyond which the chosen share is restored. In a
+// small fleet a share that was chosen while one was missing is never met exactly, and each order
+// takes an engine away.
+const leastDrift = 1.5
+
 // enoughPrefill is the number of engines that prefill the largest load there is to be,
 // 4.8 million tokens a second, three times over for its bursts, at 200 tokens a
 // millisecond.
@@ -108,7 +113,7 @@
 		return b.choose(shape.Prefill, shape)
 	}
 	drift := math.Abs(float64(shape.Prefill) - b.share*float64(shape.size()))
-	if shape.size() == b.size || drift <= b.set.Drift*float64(shape.size()) {
+	if shape.size() == b.size || drift <= max(leastDrift, b.set.Drift*float64(shape.size())) {
 		b.size = shape.size()
 		return shape.Prefill
 	}
--- a/rolechange/balance_test.go
+++ b/rolechange/balance_test.go
@@ -168,3 +168,20 @@
 		}
 	}
 }
+
+// Engines of a small fleet that are replaced one after the other, each by one of its role, move no
+// other: else those that decode run out of slots while the share of a moment is restored.
+func TestReplacementsInASmallFleetMoveNoOther(t *testing.T) {
+	work := Pressure{Slots: 8, Running: 6}
+	b := NewBalancer(DefaultBalance())
+	now := time.Unix(100, 0)
+	for _, shape := range []Shape{
+		{Prefill: 2, Decode: 1}, {Prefill: 2, Decode: 2}, {Prefill: 1, Decode: 2}, {Prefill: 2, Decode: 2},
+		{Prefill: 2, Decode: 3}, {Prefill: 2, Decode: 2}, {Prefill: 3, Decode: 2}, {Prefill: 2, Decode: 2},
+	} {
+		now = now.Add(800 * time.Millisecond)
+		if got := b.Target(now, shape, work); got != shape.Prefill {
+			t.Errorf("%+v: %d should prefill, want no change", shape, got)
+		}
+	}
+}
