--- a/placement/backup.go
+++ b/placement/backup.go
@@ -21,16 +21,18 @@
 }
 
 // backup chooses an engine to hold a copy of a run on another one, or nil. Only a stream that must
-// not be run again needs one. The revocable engines of a zone go together, and all of what they run
-// then goes on at once: copies are spread over all others, so that each gets a few more runs.
+// not be run again needs one, and only on an engine that may be taken away at any time: a copy takes
+// memory that other requests then lack, which costs more than the few streams that crashes cut.
+// The revocable engines of a zone go together, and all of what they run then goes on at once: copies
+// are spread over all others, so that each gets a few more runs.
 func (d *decision) backup(serve *directory.Endpoint, tokens int) *directory.Endpoint {
 	route := d.r.Route
-	if !d.service.Engine.Backups || route.Kind != routes.Stream || route.Repeatable() {
+	if !d.service.Engine.Backups || !serve.Revocable || route.Kind != routes.Stream || route.Repeatable() {
 		return nil
 	}
 	var engines []*directory.Endpoint
 	for _, e := range d.role(engine.Decode) {
-		together := e.Revocable && serve.Revocable && e.Zone == serve.Zone
+		together := e.Revocable && e.Zone == serve.Zone
 		if e.ID != serve.ID && !together {
 			engines = append(engines, e)
 		}
@@ -38,10 +40,14 @@
 	return d.emptiest(engines, tokens)
 }
 
-// emptiest is the one that runs least of a few drawn at random, or nil if none has room for the
-// tokens.
+// copyRoom is the part of an engine's memory that may be taken by runs for it to hold copies as well.
+// Copies are in no VM's books, and there is about one for each run: where half of the memory is
+// taken, they would push out runs and what is kept of prompts.
+const copyRoom = 0.4
+
+// emptiest is the one that runs least of a few drawn at random, or nil if none has room for copies.
 func (d *decision) emptiest(engines []*directory.Endpoint, tokens int) *directory.Endpoint {
-	room := int(d.p.tuning.MaxKV*float64(d.service.Engine.KVTokens)) - tokens
+	room := int(copyRoom*float64(d.service.Engine.KVTokens)) - tokens
 	var best *directory.Endpoint
 	least := 0
 	for _, e := range d.drawn(engines) {
--- a/placement/backup_test.go
+++ b/placement/backup_test.go
@@ -18,12 +18,12 @@
 		engines []directory.Registration
 		want    string
 	}{
-		{"alone", []directory.Registration{decoder("serve", "a", false)}, ""},
+		{"alone", []directory.Registration{decoder("serve", "a", true)}, ""},
 		{"a revocable one of another zone", []directory.Registration{decoder("serve", "a", true), decoder("r", "a", true), decoder("s", "b", true)}, "s"},
 		{"one of the zone that stays", []directory.Registration{decoder("serve", "a", true), decoder("r", "a", true), decoder("s", "a", false)}, "s"},
 		{"revocable ones of the same zone only", []directory.Registration{decoder("serve", "a", true), decoder("r", "a", true)}, ""},
-		{"a revocable one for one that stays", []directory.Registration{decoder("serve", "a", false), decoder("r", "a", true)}, "r"},
-		{"one that prefills holds no copies", []directory.Registration{decoder("serve", "a", false), {ID: "p", Service: "llm", Zone: "a", Role: engine.Prefill, Slots: 4}}, ""},
+		{"none for one that stays", []directory.Registration{decoder("serve", "a", false), decoder("r", "a", true), decoder("s", "a", false)}, ""},
+		{"one that prefills holds no copies", []directory.Registration{decoder("serve", "a", true), {ID: "p", Service: "llm", Zone: "a", Role: engine.Prefill, Slots: 4}}, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			b := newBed(t)
