--- a/rolechange/balance.go
+++ b/rolechange/balance.go
@@ -154,11 +154,20 @@
 	b.wait += weight * (float64(p.PrefillWait) - b.wait)
 }
 
-// bounded keeps the part that prefills within its bounds, and one engine that decodes.
+// leastDecode is how many engines of a fleet decode at least: two, if two are left that prefill. One
+// alone runs out of slots before its average shows it, and nothing decodes when it goes.
+func leastDecode(size int) int {
+	if size < 4 {
+		return 1
+	}
+	return 2
+}
+
+// bounded keeps the part that prefills within its bounds, and some engines that decode.
 func (b *Balancer) bounded(prefill int, shape Shape) int {
 	n := float64(shape.size())
 	least := min(int(math.Floor(b.set.MinShare*n)), b.set.Enough)
-	most := min(int(math.Ceil(b.set.MaxShare*n)), shape.size()-1)
+	most := min(int(math.Ceil(b.set.MaxShare*n)), shape.size()-leastDecode(shape.size()))
 	return max(0, min(max(prefill, least), most))
 }
 
--- a/rolechange/balance_test.go
+++ b/rolechange/balance_test.go
@@ -185,3 +185,12 @@
 		}
 	}
 }
+
+// Of four engines two decode: one of them alone runs out of slots before its average shows it.
+func TestSmallFleetKeepsEnginesThatDecode(t *testing.T) {
+	work := Pressure{Slots: 8, Running: 6}
+	b := NewBalancer(DefaultBalance())
+	if got := b.Target(time.Unix(100, 0), Shape{Prefill: 3, Decode: 1}, work); got != 2 {
+		t.Errorf("%d of four should prefill, want 2", got)
+	}
+}
