--- a/placement/backup.go
+++ b/placement/backup.go
@@ -40,14 +40,10 @@
 	return d.emptiest(engines, tokens)
 }
 
-// copyRoom is the part of an engine's memory that may be taken by runs for it to hold copies as well.
-// Copies are in no VM's books, and there is about one for each run: where half of the memory is
-// taken, they would push out runs and what is kept of prompts.
-const copyRoom = 0.4
-
-// emptiest is the one that runs least of a few drawn at random, or nil if none has room for copies.
+// emptiest is the one that runs least of a few drawn at random, or nil if none has room for the
+// tokens.
 func (d *decision) emptiest(engines []*directory.Endpoint, tokens int) *directory.Endpoint {
-	room := int(copyRoom*float64(d.service.Engine.KVTokens)) - tokens
+	room := int(d.p.tuning.MaxKV*float64(d.service.Engine.KVTokens)) - tokens
 	var best *directory.Endpoint
 	least := 0
 	for _, e := range d.drawn(engines) {
