Move the numbers of endpoints in steps

Change: of a zone and kind 10 at most are told to leave each 3 s, and 30 revocable ones at most are starting; ordinary ones that make up for others are not held up. TestNumbersOfALargeFleetMoveInSteps fails before.

--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -105,8 +105,9 @@
 // zoneState is what was ordered of one kind in one zone.
 type zoneState struct {
 	ordered int
-	// at is when that was, and next when the next order may go out.
-	at, next time.Time
+	// at is when that was, next when the next order may go out, and leaving when others may be told
+	// to leave.
+	at, next, leaving time.Time
 }
 
 // New returns a scaler.
@@ -234,7 +235,9 @@
 		s.zones[key] = state
 	}
 	now := s.cfg.Now()
-	if now.Before(state.next) || want == state.ordered && (have == want || s.starting(service, state)) {
+	starting := s.starting(service, state)
+	want = paced(have, state.ordered, want, starting, revocable)
+	if now.Before(state.next) || want == state.ordered && (have == want || starting) || want < have && now.Before(state.leaving) {
 		return
 	}
 	err := duties.Act(ctx, l, callTimeout, func(ctx context.Context, fence uint64) error {
@@ -246,6 +249,9 @@
 	switch {
 	case err == nil:
 		state.ordered, state.at = want, now
+		if want < have {
+			state.leaving = now.Add(leavePause)
+		}
 	case errors.As(err, &none):
 		state.next = now.Add(scarcePause)
 	default:
--- a/duties/scaling/scaling_test.go
+++ b/duties/scaling/scaling_test.go
@@ -22,12 +22,16 @@
 	perZone    = 19
 	testBase   = 3 * perZone
 	testMax    = 38
+	// manyTimes is how many times as large a large fleet is.
+	manyTimes = 18
 )
 
 // market starts and ends endpoints as it is ordered, and takes revocable ones away.
 type market struct {
 	t   *testing.T
 	dir *directory.Directory
+	// most is how many endpoints a zone may have.
+	most int
 
 	mu sync.Mutex
 	// list are the endpoints that serve or are about to, by zone and kind.
@@ -42,11 +46,13 @@
 	names   int
 }
 
-func newMarket(t *testing.T) *market {
-	m := &market{t: t, dir: directory.New(nil), list: map[zoneKey][]string{}, dry: map[string]bool{}, serving: map[string]bool{}}
+func newMarket(t *testing.T) *market { return newMarketOf(t, perZone, testMax) }
+
+func newMarketOf(t *testing.T, each, most int) *market {
+	m := &market{t: t, most: most, dir: directory.New(nil), list: map[zoneKey][]string{}, dry: map[string]bool{}, serving: map[string]bool{}}
 	for z := range 3 {
 		key := zoneKey{"llm", fmt.Sprint("z", z), false}
-		for range perZone {
+		for range each {
 			m.register(key, m.name(key))
 		}
 	}
@@ -75,7 +81,7 @@
 	m.orders = append(m.orders, o)
 	key := zoneKey{o.Service, o.Zone, o.Revocable}
 	other := zoneKey{o.Service, o.Zone, !o.Revocable}
-	number := max(0, min(o.Number, testMax-len(m.list[other])))
+	number := max(0, min(o.Number, m.most-len(m.list[other])))
 	if o.Revocable && m.dry[o.Zone] && number > len(m.list[key]) {
 		return &NoneError{Service: o.Service, Zone: o.Zone}
 	}
@@ -159,7 +165,7 @@
 				part = price
 			}
 			m.paid += part * float64(len(list)) / 10
-			if total := len(list) + len(m.list[zoneKey{key.service, key.zone, !key.revocable}]); total > testMax {
+			if total := len(list) + len(m.list[zoneKey{key.service, key.zone, !key.revocable}]); total > m.most {
 				m.t.Errorf("%d endpoints in %s, more than may be", total, key.zone)
 			}
 		}
@@ -168,16 +174,16 @@
 	}
 }
 
-func testService() *routes.Config {
+func testService(most int) *routes.Config {
 	return &routes.Config{Services: []routes.Service{{Name: "llm", Scale: &routes.Scale{
-		Min: 1, Max: testMax, Boot: testBoot, RevocablePrice: 0.15,
+		Min: 1, Max: most, Boot: testBoot, RevocablePrice: 0.15,
 		ZonePrices: map[string]float64{"z0": 0.85, "z1": 1.2, "z2": 1},
 	}}}}
 }
 
 // contend runs a VM that contends for the duty, until ctx ends.
 func contend(ctx context.Context, m *market, rows *memtable.Table, vm string, rank int) {
-	config := testService()
+	config := testService(m.most)
 	s := New(Config{VM: vm, Rows: rows, Directory: m.dir, Platform: m, Services: func() *routes.Config { return config }})
 	duties.NewKeeper(duties.Config{
 		Rows: rows, Apart: 3 * time.Second, Rank: func() int { return rank },
@@ -336,3 +342,30 @@
 		})
 	}
 }
+
+// In a large fleet few endpoints come or leave at a time by orders, so that all VMs hear of each in
+// time; the service comes to cost less all the same, and never has fewer than at first.
+func TestNumbersOfALargeFleetMoveInSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const base = manyTimes * testBase
+		m := newMarketOf(t, manyTimes*perZone, manyTimes*testMax)
+		before, least := base, base
+		play(t, m, memtable.New(), 120, func(int) {}, func(_ time.Duration, n int) {
+			least = min(least, n)
+			// Three zones, of which one may have its next step in the same moment.
+			if gone := before - n; gone > 3*maxLeaving {
+				t.Errorf("%d endpoints left within 100 ms", gone)
+			}
+			if came := n - before; came > 3*maxComing {
+				t.Errorf("%d endpoints came within 100 ms", came)
+			}
+			before = n
+		})
+		if least < base {
+			t.Errorf("%d endpoints served, want %d at all times", least, base)
+		}
+		if part := m.paid / (120 * base); part > 0.95 {
+			t.Errorf("paid %.2f of what the base would have cost, want at most 0.95", part)
+		}
+	})
+}
