--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -71,6 +71,9 @@
 	stable = 2500 * time.Millisecond
 	// basePause is how often the base is looked for.
 	basePause = 500 * time.Millisecond
+	// mostBase is the base above which numbers are left as they are: before a change of many endpoints
+	// pays, those that come hold requests up, having read nothing of their prompts yet.
+	mostBase = 200
 	// callTimeout bounds an order: within it the order is taken or will not be.
 	callTimeout = 400 * time.Millisecond
 	// scarcePause is how long after there were none to be had the next order goes out.
@@ -138,7 +141,7 @@
 func (s *Scaler) keep(ctx context.Context, l *lease.Lease, service *routes.Service) {
 	have := s.count(service)
 	planner := s.planner(ctx, service, have)
-	if planner == nil {
+	if planner == nil || planner.base > mostBase {
 		return
 	}
 	for zone, want := range planner.Plan(s.cfg.Now(), service.Scale, have) {
@@ -165,7 +168,7 @@
 	}
 	if base > 0 {
 		state.planner = NewPlanner(DefaultSettings(), base)
-		klog.InfoS("scaling: numbers are planned", "service", service.Name, "base", base)
+		klog.InfoS("scaling: numbers are planned", "service", service.Name, "base", base, "ordered", base <= mostBase)
 	}
 	return state.planner
 }
