--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/springweir/springweir/rolechange"
 	"github.com/springweir/springweir/roster"
 	"github.com/springweir/springweir/routes"
+	"github.com/springweir/springweir/signals"
 	"github.com/springweir/springweir/table"
 )
 
@@ -110,6 +111,8 @@
 	DecodeEndpoint func(table.Row) (directory.Registration, error)
 	// Down tells whether nobody listens at an endpoint's address any more.
 	Down func(context.Context, *directory.Endpoint) bool
+	// Observe sets who is told of each response of an endpoint; nil tells nobody.
+	Observe func(func(signals.Response))
 	// Forget is called with each new snapshot, to close connections to endpoints
 	// that are gone.
 	Forget func(*directory.Snapshot)
@@ -124,6 +127,7 @@
 	state     *state
 	directory *directory.Directory
 	planner   *placement.Planner
+	signals   *signals.Board
 	budgets   *budgets
 	relay     *relay.Relay
 	roster    *roster.Roster
@@ -144,6 +148,10 @@
 func New(s Settings, p Platform, n network.Network) *Gateway {
 	g := &Gateway{settings: s, platform: p, network: n, started: time.Now(), freshness: freshness.New(nil)}
 	g.state = &state{freshness: g.freshness, revoke: newRevokeBudget(s.RevokeWithin), applyWithin: s.ApplyWithin}
+	g.signals = signals.New(signals.Config{})
+	if p.Observe != nil {
+		p.Observe(g.signals.Learn)
+	}
 	g.directory = directory.New(g.setEndpoints)
 	g.planner = placement.New(placement.Config{
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
@@ -198,6 +206,7 @@
 func (g *Gateway) setEndpoints(old, now *directory.Snapshot) {
 	g.planner.SetEndpoints(old, now)
 	g.guard.Keep(now)
+	g.signals.Keep(now)
 	if restarted(old, now) {
 		g.platform.Forget(now)
 	}
