Treat an endpoint as draining from the response that says so

Change: directory.Drain marks the incarnation as draining, so that every reader of the endpoints and every row of relay's recheck treats it like a draining row. The mark holds for the incarnation, also against rows that still say ready and over an outage of the store; the next incarnation starts clean. The other VMs hear of it as news.

--- /dev/null
+++ b/directory/announced_test.go
@@ -0,0 +1,41 @@
+package directory
+
+import (
+	"testing"
+
+	"github.com/springweir/springweir/table"
+)
+
+func row(id string, born int64, version int, draining bool) Registration {
+	return Registration{ID: id, Born: born, Version: table.Version(version), Service: "llm", Draining: draining}
+}
+
+// A drain that an endpoint has announced holds against rows that say that it is ready, against an outage
+// of the store in which its row is missing, and ends with its incarnation.
+func TestAnnouncedDrainHoldsForAnIncarnation(t *testing.T) {
+	d := New(nil)
+	d.Put(row("e1", 1, 1, false), row("e2", 1, 2, false))
+	usable := func() int { return len(d.Snapshot().Service("llm")) }
+	if !d.Drain("e1@1") || usable() != 1 {
+		t.Fatalf("%d usable", usable())
+	}
+	if d.Drain("e1@1") {
+		t.Error("the same drain is news again")
+	}
+	d.Put(row("e1", 1, 3, false))
+	if usable() != 1 {
+		t.Error("a later row that says ready made it usable")
+	}
+	d.Remove("e1")
+	d.Put(row("e1", 1, 4, false))
+	if usable() != 1 {
+		t.Error("a row that came back made it usable")
+	}
+	d.Put(row("e1", 2, 5, false))
+	if usable() != 2 {
+		t.Error("the next incarnation is not usable")
+	}
+	if d.Drain("unknown") || d.Drain("e1@1") {
+		t.Error("a drain of no registered incarnation is news")
+	}
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -31,7 +31,7 @@
 	Zone    string
 	// Slots is the number of requests that it works on at once.
 	Slots int
-	// Draining endpoints take no new work.
+	// Draining endpoints take no new work: their row says so, or a response of theirs has.
 	Draining bool
 	// WarmIn is how long it is still slow after its start, when the row was written.
 	WarmIn time.Duration
@@ -107,14 +107,16 @@
 	// holds and that do not count: see StepBack.
 	departed map[string]departure
 	disputed map[string]Registration
-	snapshot atomic.Pointer[Snapshot]
-	onChange func(old, now *Snapshot)
+	// announced are the incarnations that have announced a drain, and when they were last registered.
+	announced map[string]time.Time
+	snapshot  atomic.Pointer[Snapshot]
+	onChange  func(old, now *Snapshot)
 }
 
 // New returns an empty directory. onChange, which may be nil, is called with
 // each new snapshot and the one before it, in order.
 func New(onChange func(old, now *Snapshot)) *Directory {
-	d := &Directory{byID: map[string]*Endpoint{}, departed: map[string]departure{}, disputed: map[string]Registration{}, onChange: onChange}
+	d := &Directory{byID: map[string]*Endpoint{}, departed: map[string]departure{}, disputed: map[string]Registration{}, announced: map[string]time.Time{}, onChange: onChange}
 	d.snapshot.Store(&Snapshot{})
 	return d
 }
@@ -245,6 +247,7 @@
 // publish makes the next snapshot. The caller holds mu.
 func (d *Directory) publish() {
 	d.forgetDepartures()
+	d.applyAnnouncements(clock.Now())
 	s := &Snapshot{byID: make(map[string]*Endpoint, len(d.byID)), byService: map[string][]*Endpoint{}, inZone: map[string]int{}}
 	for id, e := range d.byID {
 		s.byID[id] = e
--- a/signals/board.go
+++ b/signals/board.go
@@ -23,12 +23,15 @@
 	Now func() time.Time
 	// Tell makes all other VMs hear of signals; nil tells nobody.
 	Tell func(loadshare.News)
-	// Endpoints returns the newest picture of the endpoints; nil names none in the log.
+	// Endpoints returns the newest picture of the endpoints; nil names none.
 	Endpoints func() *directory.Snapshot
+	// Drain makes an incarnation of an endpoint a draining one, and tells whether it was not yet; nil
+	// does nothing.
+	Drain func(incarnation string) bool
 }
 
 // Board holds the signals of all endpoints. It is safe for concurrent use; its lock is a leaf, and Tell
-// is called without it.
+// and Drain are called without it.
 type Board struct {
 	cfg Config
 	now func() time.Time
@@ -52,7 +55,6 @@
 	touched time.Time
 	limit   limit
 	backoff time.Time
-	drained bool
 	// denied is when a request was last not let through, and deniedPriority the most urgent one of
 	// that moment.
 	denied         time.Time
@@ -96,23 +98,31 @@
 	if r.Signal == (Signal{}) && b.quiet() {
 		return
 	}
+	told := b.learnState(r)
+	if r.Signal.Draining && b.drain(r.Endpoint, "request", r.Request) {
+		told = append(told, &sharepb.EndpointSignal{Endpoint: Hash(r.Endpoint), Draining: true})
+	}
+	if len(told) > 0 && b.cfg.Tell != nil {
+		b.cfg.Tell(loadshare.News{Signals: told})
+	}
+}
+
+// learnState takes in what a response says that is kept here, and returns what the other VMs are to
+// know.
+func (b *Board) learnState(r Response) []*sharepb.EndpointSignal {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	s := b.stateOf(r.Endpoint)
-	if s == nil && r.Signal != (Signal{}) {
+	if s == nil {
+		if r.Signal.Limit.Kind == Unlimited && r.Signal.Backoff == 0 {
+			return nil
+		}
 		s = b.add(Hash(r.Endpoint))
 		s.id, s.zone = r.Endpoint.ID, r.Endpoint.Zone
 	}
-	var news loadshare.News
-	if s != nil {
-		s.touched = b.now()
-		news.Signals = b.learnLimit(s, r)
-		s.learnBackoff(s.touched, r)
-		s.learnDrain(r)
-	}
-	b.mu.Unlock()
-	if len(news.Signals) > 0 && b.cfg.Tell != nil {
-		b.cfg.Tell(news)
-	}
+	s.touched = b.now()
+	s.learnBackoff(s.touched, r)
+	return b.learnLimit(s, r)
 }
 
 // learnLimit takes in what a response says of the rate limit, and returns what the other VMs are to
@@ -131,35 +141,61 @@
 	return []*sharepb.EndpointSignal{s.limit.signal(Hash(r.Endpoint))}
 }
 
-// Heard takes in what another VM told.
+// drain makes an endpoint a draining one, and tells whether it was not yet. The caller does not hold
+// mu.
+func (b *Board) drain(e *directory.Endpoint, from string, value any) bool {
+	if b.cfg.Drain == nil || !b.cfg.Drain(e.Incarnation()) {
+		return false
+	}
+	count("drain", "learned")
+	klog.InfoS("signals: drain announced", "endpoint", e.ID, from, value)
+	return true
+}
+
+// Heard takes in what another VM told. A drain of an endpoint that is not registered here yet is left
+// to its own next response.
 func (b *Board) Heard(list []*sharepb.EndpointSignal) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, told := range list {
-		s := b.states[told.Endpoint]
-		if s == nil {
-			s = b.add(told.Endpoint)
-			s.id, s.zone = b.lookUp(told.Endpoint)
+		if told.Version > 0 {
+			b.hearLimit(told)
+		}
+		if !told.Draining {
+			continue
 		}
-		s.touched = b.now()
-		before := s.limit
-		if s.limit.heard(s.touched, told) {
-			b.limitChanged(told.Endpoint, s, before, "version", told.Version)
+		if e := b.lookUp(told.Endpoint); e != nil {
+			b.drain(e, "from", "another VM")
 		}
 	}
 }
 
-// lookUp finds the ID and the zone of an endpoint; they are empty if it is not known yet.
-func (b *Board) lookUp(endpoint uint64) (id, zone string) {
+func (b *Board) hearLimit(told *sharepb.EndpointSignal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[told.Endpoint]
+	if s == nil {
+		s = b.add(told.Endpoint)
+		if e := b.lookUp(told.Endpoint); e != nil {
+			s.id, s.zone = e.ID, e.Zone
+		}
+	}
+	s.touched = b.now()
+	before := s.limit
+	if s.limit.heard(s.touched, told) {
+		b.limitChanged(told.Endpoint, s, before, "version", told.Version)
+	}
+}
+
+// lookUp finds an endpoint by its hash; nil if it is not known yet.
+func (b *Board) lookUp(endpoint uint64) *directory.Endpoint {
 	if b.cfg.Endpoints == nil {
-		return "", ""
+		return nil
 	}
 	for _, e := range b.cfg.Endpoints().All() {
 		if Hash(e) == endpoint {
-			return e.ID, e.Zone
+			return e
 		}
 	}
-	return "", ""
+	return nil
 }
 
 // limitChanged follows a new version of a limit: a share for it, a line and a counter if it is another
@@ -261,12 +297,3 @@
 	s.backoff = now.Add(r.Signal.Backoff)
 	klog.InfoS("signals: backoff requested", "endpoint", r.Endpoint.ID, "request", r.Request, "for", r.Signal.Backoff)
 }
-
-func (s *state) learnDrain(r Response) {
-	if !r.Signal.Draining || s.drained {
-		return
-	}
-	s.drained = true
-	count("drain", "learned")
-	klog.InfoS("signals: drain announced", "endpoint", r.Endpoint.ID, "request", r.Request, "rowDraining", r.Endpoint.Draining)
-}
