Leave endpoints alone for the backoff that they ask a VM for

Change: the backoff is kept by endpoint and incarnation, from the response on, by a clock that goes on during a suspension; nothing is planned or sent until it ends, and then one request, twice as many each 150 ms. Other VMs are not told: the endpoint asked this one.

--- a/placement/blocked.go
+++ b/placement/blocked.go
@@ -70,6 +70,8 @@
 	switch reason {
 	case signals.RateLimited:
 		return relay.EndpointRateLimited
+	case signals.BackingOff:
+		return relay.EndpointBacksOff
 	}
 	return ""
 }
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -32,6 +32,8 @@
 	EndpointEjected Cause = "endpoint-ejected"
 	// EndpointRateLimited is an endpoint whose rate limit leaves this VM nothing now.
 	EndpointRateLimited Cause = "endpoint-rate-limited"
+	// EndpointBacksOff is an endpoint that has asked this VM to send it nothing for a time.
+	EndpointBacksOff Cause = "endpoint-backs-off"
 	// CacheLost is a KV cache whose holder has started again since it was made.
 	CacheLost Cause = "cache-lost"
 	// RouteChanged is a request that the configuration in force routes otherwise.
--- a/signals/block.go
+++ b/signals/block.go
@@ -9,8 +9,12 @@
 // Reason is why nothing may be sent to an endpoint now; empty if something may.
 type Reason string
 
-// RateLimited is an endpoint whose limit leaves this VM nothing now.
-const RateLimited Reason = "rate-limited"
+const (
+	// RateLimited is an endpoint whose limit leaves this VM nothing now.
+	RateLimited Reason = "rate-limited"
+	// BackingOff is an endpoint that wants nothing from this VM for a time, or little right after it.
+	BackingOff Reason = "backing-off"
+)
 
 // Block is why an endpoint takes nothing from this VM now, and for how long. The zero value is none.
 type Block struct {
@@ -45,8 +49,8 @@
 
 // block is why the endpoint takes nothing from this VM now.
 func (s *state) block(now time.Time) Block {
-	if block := s.refusal(now); block.Reason != "" {
-		return block
+	if wait := s.backoff.wait(now); wait > 0 {
+		return Block{Reason: BackingOff, For: wait}
 	}
 	if !s.limit.limited {
 		return Block{}
@@ -57,9 +61,6 @@
 	return Block{}
 }
 
-// refusal is why the endpoint takes nothing from this VM now, whatever its limit allows.
-func (s *state) refusal(time.Time) Block { return Block{} }
-
 const (
 	// yieldFor is how long less urgent requests yield after a more urgent one was not let through.
 	yieldFor = time.Second
--- a/signals/board.go
+++ b/signals/board.go
@@ -54,7 +54,7 @@
 	// touched is when something was last learned of it.
 	touched time.Time
 	limit   limit
-	backoff time.Time
+	backoff backoff
 	// denied is when a request was last not let through, and deniedPriority the most urgent one of
 	// that moment.
 	denied         time.Time
@@ -121,7 +121,7 @@
 		s.id, s.zone = r.Endpoint.ID, r.Endpoint.Zone
 	}
 	s.touched = b.now()
-	s.learnBackoff(s.touched, r)
+	s.backoff.learn(s.touched, r)
 	return b.learnLimit(s, r)
 }
 
@@ -261,6 +261,15 @@
 // alone tells whether a VM hears none of the others.
 func alone(m loadshare.Membership) bool { return len(m.Live) == 1 && m.Registered > 1 }
 
+// keepIdle is how long the state of an endpoint is kept after its last signal. All VMs keep it far longer
+// than news takes, so that the versions of a limit go on from where they were.
+const keepIdle = 10 * time.Minute
+
+// idle tells whether the endpoint has sent no signal for long.
+func (s *state) idle(now time.Time) bool {
+	return !s.limit.limited && now.Sub(s.limit.toldAt) > keepIdle && now.Sub(s.backoff.until) > keepIdle
+}
+
 // keepUnknown is how long signals of an endpoint are kept that is not registered: its row may be on
 // its way.
 const keepUnknown = 10 * time.Second
@@ -278,22 +287,10 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	for endpoint, s := range b.states {
-		if !live[endpoint] && (s.id != "" || now.Sub(s.touched) > keepUnknown) {
+		gone := !live[endpoint] && (s.id != "" || now.Sub(s.touched) > keepUnknown)
+		if gone || s.idle(now) {
 			delete(b.states, endpoint)
 		}
 	}
 	b.known.Store(int64(len(b.states)))
 }
-
-func (s *state) learnBackoff(now time.Time, r Response) {
-	if r.Signal.Backoff <= 0 {
-		return
-	}
-	if now.Before(s.backoff) {
-		count("backoff", "changed")
-	} else {
-		count("backoff", "learned")
-	}
-	s.backoff = now.Add(r.Signal.Backoff)
-	klog.InfoS("signals: backoff requested", "endpoint", r.Endpoint.ID, "request", r.Request, "for", r.Signal.Backoff)
-}
--- a/signals/permit.go
+++ b/signals/permit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/springweir/springweir/directory"
 )
 
@@ -42,6 +44,10 @@
 	if block := s.block(now); block.Reason != "" {
 		return block
 	}
+	if s.backoff.take() {
+		count("backoff", "ended")
+		klog.InfoS("signals: backoff ended", "endpoint", s.id)
+	}
 	if !s.limit.limited {
 		return Block{}
 	}
@@ -68,8 +74,11 @@
 	if s == nil {
 		return Block{}
 	}
-	if !p.taken.IsZero() && now.Sub(p.taken) <= permitTTL {
-		return s.refusal(now)
+	if s.backoff.active(now) {
+		return s.block(now)
+	}
+	if !s.limit.limited || !p.taken.IsZero() && now.Sub(p.taken) <= permitTTL {
+		return Block{}
 	}
 	p.release(s)
 	return p.take(now)
