--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,6 +57,9 @@
 		metrics.WriteGaugeFloat64(w, "springweir_config_age_seconds", age.Seconds())
 	}
 	metrics.WriteGaugeUint64(w, "springweir_endpoints", uint64(g.directory.Snapshot().Len()))
+	limits, backoffs := g.signals.Active()
+	metrics.WriteGaugeUint64(w, "springweir_endpoint_limits", uint64(limits))
+	metrics.WriteGaugeUint64(w, "springweir_endpoint_backoffs", uint64(backoffs))
 	metrics.WriteGaugeUint64(w, "springweir_peers", uint64(len(g.roster.Others())))
 	metrics.WriteGaugeUint64(w, "springweir_uptime_seconds", uint64(time.Since(g.started).Seconds()))
 }
--- a/signals/block.go
+++ b/signals/block.go
@@ -61,6 +61,23 @@
 	return Block{}
 }
 
+// Active returns how many endpoints have a rate limit, and how many want nothing from this VM for a
+// time.
+func (b *Board) Active() (limits, backoffs int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for _, s := range b.states {
+		if s.limit.limited {
+			limits++
+		}
+		if s.backoff.active(now) {
+			backoffs++
+		}
+	}
+	return limits, backoffs
+}
+
 const (
 	// yieldFor is how long less urgent requests yield after a more urgent one was not let through.
 	yieldFor = time.Second
