Let a VM that was suspended wait until it knows whom it still hears

Found by the new model of the protocol (TestNoOrderOfStepsBreaksALimit): a holder that is suspended for a second and a half, goes on behind a partition, and is suspended again right before its handover ends, uses its share beside the VM that took it over: it still counted the others as heard. Evidence: the search goes through 148,199 states of three VMs that die, join, are suspended and cut off and finds nothing; without the handover, the lapse of shares, or the reduced limit of a minority it finds a run each. Before the change it failed after 17,254 states.

--- a/signals/board.go
+++ b/signals/board.go
@@ -239,11 +239,15 @@
 		return
 	}
 	b.members = m
+	wait := handover
+	if lapsed {
+		wait = regain
+	}
 	for endpoint, s := range b.states {
 		if lapsed {
 			s.limit.dropShare()
 		}
-		b.share(endpoint, s, handover)
+		b.share(endpoint, s, wait)
 	}
 }
 
