Look at signals without a lock for endpoints that have sent none

At the size to come a decision looks at hundreds of endpoints of a service; with one signal anywhere each of them cost a lock and a hash. The IDs of those that have sent one stand in a map that is replaced, never changed. What another VM tells of an endpoint before its row is known is named once the row comes (before: at the first look). The tests' fleet knows its endpoints, as VMs do.

--- a/signals/block.go
+++ b/signals/block.go
@@ -26,7 +26,7 @@
 // whether the endpoint has a limit. draw, which returns numbers from 0 to 1, decides between requests
 // of different priorities.
 func (b *Board) Check(e *directory.Endpoint, priority int, draw func() float64) (block Block, limited bool) {
-	if b.quiet() {
+	if b.quiet(e) {
 		return Block{}, false
 	}
 	b.mu.Lock()
--- a/signals/board.go
+++ b/signals/board.go
@@ -35,8 +35,9 @@
 type Board struct {
 	cfg Config
 	now func() time.Time
-	// known is the number of states, so that a fleet without signals takes no lock.
-	known atomic.Int64
+	// known are the IDs of the endpoints that have a state, so that all others cost no lock. It is
+	// replaced, never changed.
+	known atomic.Pointer[map[string]bool]
 
 	mu sync.Mutex
 	// states are by the hash of the endpoint's incarnation, and hold only endpoints that have sent a
@@ -64,6 +65,7 @@
 // New returns a board that knows nothing, of a VM that knows no other.
 func New(c Config) *Board {
 	b := &Board{cfg: c, now: clock.OrSystem(c.Now), states: map[uint64]*state{}}
+	b.known.Store(&map[string]bool{})
 	b.members = loadshare.Membership{Live: []loadshare.Member{{Name: c.VM}}, Registered: 1}
 	b.membersAt = b.now()
 	return b
@@ -72,30 +74,41 @@
 // Hash names an incarnation of an endpoint between VMs.
 func Hash(e *directory.Endpoint) uint64 { return xxhash.Sum64String(e.Incarnation()) }
 
-// quiet tells whether no endpoint has sent a signal.
-func (b *Board) quiet() bool { return b.known.Load() == 0 }
+// quiet tells whether an endpoint has sent no signal.
+func (b *Board) quiet(e *directory.Endpoint) bool { return !(*b.known.Load())[e.ID] }
 
 // stateOf returns the state of an endpoint, or nil. The caller holds mu.
-func (b *Board) stateOf(e *directory.Endpoint) *state {
-	s := b.states[Hash(e)]
-	if s != nil && s.id == "" {
-		s.id, s.zone = e.ID, e.Zone
-		b.share(Hash(e), s, 0)
-	}
-	return s
-}
+func (b *Board) stateOf(e *directory.Endpoint) *state { return b.states[Hash(e)] }
 
-// add makes a state. The caller holds mu.
-func (b *Board) add(endpoint uint64) *state {
+// add makes a state, of an endpoint that may not be registered here yet: nil. The caller holds mu.
+func (b *Board) add(endpoint uint64, e *directory.Endpoint) *state {
 	s := &state{}
 	b.states[endpoint] = s
-	b.known.Store(int64(len(b.states)))
+	if e != nil {
+		b.bind(endpoint, s, e)
+	}
 	return s
 }
 
+// bind names the endpoint of a state. The caller holds mu.
+func (b *Board) bind(endpoint uint64, s *state, e *directory.Endpoint) {
+	s.id, s.zone = e.ID, e.Zone
+	b.share(endpoint, s, 0)
+	b.noteKnown()
+}
+
+// noteKnown takes in which endpoints have a state. The caller holds mu.
+func (b *Board) noteKnown() {
+	ids := make(map[string]bool, len(b.states))
+	for _, s := range b.states {
+		ids[s.id] = true
+	}
+	b.known.Store(&ids)
+}
+
 // Learn takes in a response.
 func (b *Board) Learn(r Response) {
-	if r.Signal == (Signal{}) && b.quiet() {
+	if r.Signal == (Signal{}) && b.quiet(r.Endpoint) {
 		return
 	}
 	told := b.learnState(r)
@@ -117,8 +130,7 @@
 		if r.Signal.Limit.Kind == Unlimited && r.Signal.Backoff == 0 {
 			return nil
 		}
-		s = b.add(Hash(r.Endpoint))
-		s.id, s.zone = r.Endpoint.ID, r.Endpoint.Zone
+		s = b.add(Hash(r.Endpoint), r.Endpoint)
 	}
 	s.touched = b.now()
 	s.backoff.learn(s.touched, r)
@@ -173,10 +185,7 @@
 	defer b.mu.Unlock()
 	s := b.states[told.Endpoint]
 	if s == nil {
-		s = b.add(told.Endpoint)
-		if e := b.lookUp(told.Endpoint); e != nil {
-			s.id, s.zone = e.ID, e.Zone
-		}
+		s = b.add(told.Endpoint, b.lookUp(told.Endpoint))
 	}
 	s.touched = b.now()
 	before := s.limit
@@ -278,23 +287,28 @@
 // its way.
 const keepUnknown = 10 * time.Second
 
-// Keep forgets endpoints that are gone or have started again.
+// Keep forgets endpoints that are gone or have started again, and names those that have registered since
+// another VM told of them.
 func (b *Board) Keep(snapshot *directory.Snapshot) {
-	if b.quiet() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.states) == 0 {
 		return
 	}
-	live := map[uint64]bool{}
+	live := map[uint64]*directory.Endpoint{}
 	for _, e := range snapshot.All() {
-		live[Hash(e)] = true
+		live[Hash(e)] = e
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	now := b.now()
 	for endpoint, s := range b.states {
-		gone := !live[endpoint] && (s.id != "" || now.Sub(s.touched) > keepUnknown)
-		if gone || s.idle(now) {
+		e := live[endpoint]
+		gone := e == nil && (s.id != "" || now.Sub(s.touched) > keepUnknown)
+		switch {
+		case gone || s.idle(now):
 			delete(b.states, endpoint)
+		case e != nil && s.id == "":
+			b.bind(endpoint, s, e)
 		}
 	}
-	b.known.Store(int64(len(b.states)))
+	b.noteKnown()
 }
--- a/signals/board_test.go
+++ b/signals/board_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
 var limited = Signal{Limit: Limit{Kind: Named, PerSecond: 4}}
@@ -41,3 +42,33 @@
 		t.Errorf("states: %v", b.states)
 	}
 }
+
+// What another VM tells of an endpoint before its row is known here holds once the row has come.
+func TestSignalsComeBeforeTheRow(t *testing.T) {
+	b := newBench()
+	e := endpoint("e1", 1)
+	b.Heard([]*sharepb.EndpointSignal{{Endpoint: Hash(e), Version: 3, Limited: true, LimitMilli: 1000}})
+	if _, limited := b.Check(e, 0, func() float64 { return 0 }); limited {
+		t.Error("an endpoint that is not registered is named")
+	}
+	b.Keep(snapshot(e, endpoint("e2", 1)))
+	block, limited := b.Check(e, 0, func() float64 { return 0 })
+	if !limited || block.Reason != RateLimited {
+		t.Errorf("%+v, limited %v", block, limited)
+	}
+	if _, limited := b.Check(endpoint("e2", 1), 0, func() float64 { return 0 }); limited {
+		t.Error("another endpoint is limited")
+	}
+}
+
+// Signals of an endpoint do not keep the next incarnation from work, also while its row is on its way.
+func TestNextIncarnationIsNotLimited(t *testing.T) {
+	b := newBench()
+	b.Learn(Response{Endpoint: endpoint("e1", 1), Sent: b.now, Signal: limited})
+	if n := b.sends(3, "e1", 2); n != 3 {
+		t.Errorf("%d of 3 requests went to the next incarnation", n)
+	}
+	if n := b.sends(3, "e1", 1); n != 0 {
+		t.Errorf("%d requests went to the limited one at once", n)
+	}
+}
--- a/signals/fleet_test.go
+++ b/signals/fleet_test.go
@@ -90,7 +90,8 @@
 // join starts a VM, which the others hear at once.
 func (f *fleet) join(name, zone string, perSecond float64) *vm {
 	v := &vm{name: name, zone: zone, perSecond: perSecond, heardAt: map[string]time.Time{}}
-	v.board = New(Config{VM: name, Now: func() time.Time { return f.now }, Tell: func(n loadshare.News) { f.tell(v, n) }})
+	registered := f.registered()
+	v.board = New(Config{VM: name, Now: func() time.Time { return f.now }, Endpoints: func() *directory.Snapshot { return registered }, Tell: func(n loadshare.News) { f.tell(v, n) }})
 	for _, o := range f.vms {
 		v.heardAt[o.name], o.heardAt[name] = f.now, f.now
 	}
@@ -100,6 +101,15 @@
 	return v
 }
 
+// registered is the picture of the endpoints that all VMs have.
+func (f *fleet) registered() *directory.Snapshot {
+	var list []*directory.Endpoint
+	for _, e := range f.endpoints {
+		list = append(list, e.Endpoint)
+	}
+	return snapshot(list...)
+}
+
 func (f *fleet) at(after time.Duration, do func()) {
 	heap.Push(&f.events, event{f.now.Add(after), do})
 }
--- a/signals/model_test.go
+++ b/signals/model_test.go
@@ -56,8 +56,7 @@
 // board builds the board of a VM in a state.
 func (v *modelVM) board(i int, now time.Time) *Board {
 	b := New(Config{VM: modelName(i), Now: func() time.Time { return now }})
-	s := b.add(Hash(modelEndpoint))
-	s.id, s.zone = modelEndpoint.ID, modelEndpoint.Zone
+	s := b.add(Hash(modelEndpoint), modelEndpoint)
 	s.limit.limited, s.limit.perSecond, s.limit.namedAt = true, modelLimit, now
 	if v.live != 0 {
 		b.members, b.membersAt = members(v.live), now.Add(-time.Duration(v.liveAge)*tick)
@@ -173,7 +172,9 @@
 	for i := range s.vms {
 		v := s.vms[i]
 		if v.dead {
-			add(func(n *modelState) { n.vms[i] = modelVM{liveAge: longAgo, heard: [modelVMs]int{longAgo, longAgo, longAgo}} })
+			add(func(n *modelState) {
+				n.vms[i] = modelVM{liveAge: longAgo, heard: [modelVMs]int{longAgo, longAgo, longAgo}}
+			})
 			continue
 		}
 		add(func(n *modelState) { n.vms[i].dead = true })
--- a/signals/permit.go
+++ b/signals/permit.go
@@ -25,7 +25,7 @@
 // Take returns a permit for a request to an endpoint, or why there is none.
 func (b *Board) Take(e *directory.Endpoint) (*Permit, Block) {
 	p := &Permit{board: b, endpoint: e}
-	if b.quiet() {
+	if b.quiet(e) {
 		return p, Block{}
 	}
 	b.mu.Lock()
@@ -63,7 +63,7 @@
 // Recheck tells whether the request may still be sent, just before it is. A permit from before the
 // limit was known, or one that has waited for long, is taken anew.
 func (p *Permit) Recheck() Block {
-	if p == nil || p.board.quiet() {
+	if p == nil || p.board.quiet(p.endpoint) {
 		return Block{}
 	}
 	p.board.mu.Lock()
