Use the field's terms beside the signals: drain, pause, reject

Renames only: relay.EndpointDrains (label endpoint-drains), gateway's lines 'endpoint drains' and 'request rejected', springweir_drain_known_seconds, and the pause after a refusal in placement.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -77,7 +77,7 @@
 		if !c.Deleted {
 			r, known = g.decodeEndpoint(c.Row)
 		}
-		g.noteLeaving(c, r.Draining)
+		g.noteDrain(c, r.Draining)
 		if known {
 			logEndpoint(r)
 			puts = append(puts, r)
@@ -98,16 +98,16 @@
 	g.lapse(lapsed)
 }
 
-// noteLeaving takes the time between a leaving and its being known here. Only the first sign of
+// noteDrain takes the time between a drain and its being known here. Only the first sign of
 // it counts: an endpoint that has said that it leaves is gone later.
-func (g *Gateway) noteLeaving(c table.Change, draining bool) {
+func (g *Gateway) noteDrain(c table.Change, draining bool) {
 	before := g.directory.Snapshot().Endpoint(c.Row.Key.Row)
 	if before == nil || !before.Usable() || !draining && !c.Deleted || c.NotBefore.IsZero() {
 		return
 	}
 	age := clock.Since(c.NotBefore)
-	leavingKnown.Update(age.Seconds())
-	klog.InfoS("gateway: endpoint leaves", "endpoint", c.Row.Key.Row, "version", c.Row.Version.String(), "deleted", c.Deleted, "ageAtMostMS", age.Milliseconds())
+	drainKnown.Update(age.Seconds())
+	klog.InfoS("gateway: endpoint drains", "endpoint", c.Row.Key.Row, "version", c.Row.Version.String(), "deleted", c.Deleted, "ageAtMostMS", age.Milliseconds())
 }
 
 func (g *Gateway) putEndpoints(list []directory.Registration) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -63,12 +63,12 @@
 	}
 	call, failed := h.codec.Decode(r)
 	if failed != nil {
-		h.turnAway(w, r, call.ID, failed)
+		h.reject(w, r, call.ID, failed)
 		return
 	}
 	req, failed := h.understand(w, r, call, began)
 	if failed != nil {
-		h.turnAway(w, r, call.ID, failed)
+		h.reject(w, r, call.ID, failed)
 		return
 	}
 	reply := &reply{w: w, control: http.NewResponseController(w)}
@@ -177,9 +177,9 @@
 	return failed.Ran
 }
 
-// turnAway refuses a request that never came to be relayed.
-func (h *handler) turnAway(w http.ResponseWriter, r *http.Request, id string, failed *failure.Request) {
-	klog.InfoS("gateway: request turned away", "request", id, "host", r.Host, "path", withoutQuery(target(r)), "config", h.state.version(),
+// reject refuses a request that never came to be relayed.
+func (h *handler) reject(w http.ResponseWriter, r *http.Request, id string, failed *failure.Request) {
+	klog.InfoS("gateway: request rejected", "request", id, "host", r.Host, "path", withoutQuery(target(r)), "config", h.state.version(),
 		"configStale", h.state.configStale(), "failure", failed.Code, "cause", failed.Message)
 	h.refuse(w, r, id, failed)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,8 +19,8 @@
 // malformedEndpoints counts rows of endpoints that could not be understood.
 var malformedEndpoints = metrics.NewCounter("springweir_endpoint_rows_malformed_total")
 
-// leavingKnown is how long, at the most, endpoints had been leaving when this VM knew of it.
-var leavingKnown = metrics.GetOrCreateHistogram("springweir_leaving_known_seconds")
+// drainKnown is how long, at the most, endpoints had been draining when this VM knew of it.
+var drainKnown = metrics.GetOrCreateHistogram("springweir_drain_known_seconds")
 
 // observe counts a request that was relayed and takes its times.
 func observe(req *relay.Request, result relay.Result) {
--- a/placement/books.go
+++ b/placement/books.go
@@ -40,35 +40,35 @@
 	own  work
 	// cache is nil for an endpoint that is no engine.
 	cache *cacheModel
-	// restUntil is until when the endpoint is left alone because it refused, and
+	// pausedUntil is until when the endpoint is left alone because it refused, and
 	// refusals counts those in a row.
-	restUntil time.Time
-	refusals  int
+	pausedUntil time.Time
+	refusals    int
 }
 
 const (
-	// restMin is how long an endpoint is left alone after a refusal. It doubles
-	// with each further one up to restMax: one that is full may have room soon,
+	// pauseMin is how long an endpoint is left alone after a refusal. It doubles
+	// with each further one up to pauseMax: one that is full may have room soon,
 	// one that is changing its role is away for seconds.
-	restMin = 25 * time.Millisecond
-	restMax = 800 * time.Millisecond
-	// toldRefusals are the refusals in a row that count for a VM that was told of them:
+	pauseMin = 25 * time.Millisecond
+	pauseMax = 800 * time.Millisecond
+	// sharedRefusals are the refusals in a row that count for a VM that was told of them:
 	// its own first one then leaves the endpoint alone for longer, so that the VMs do not
 	// all try it again each time that one of them does.
-	toldRefusals = 4
-	// restWrong is how long one that is not what its row says is left alone: a row
+	sharedRefusals = 4
+	// pauseWrong is how long one that is not what its row says is left alone: a row
 	// follows within about a second.
-	restWrong = time.Second
+	pauseWrong = time.Second
 )
 
 // refused leaves the endpoint alone for a while. One that is another than was meant, or
 // has another role, stays so until its row shows it.
 func (b *book) refused(now time.Time, code failure.Reason) {
-	rest := min(restMin<<min(b.refusals, 8), restMax)
+	pause := min(pauseMin<<min(b.refusals, 8), pauseMax)
 	if code == failure.WrongIncarnation {
-		rest = restWrong
+		pause = pauseWrong
 	}
-	b.restUntil = now.Add(rest)
+	b.pausedUntil = now.Add(pause)
 	b.refusals++
 }
 
@@ -197,7 +197,7 @@
 	}
 	for _, hash := range load.Refusing {
 		if k := b.byHash[hash]; k != nil {
-			k.refusals = max(k.refusals, toldRefusals)
+			k.refusals = max(k.refusals, sharedRefusals)
 		}
 	}
 	for _, w := range load.Work {
@@ -258,7 +258,7 @@
 func (b *books) changed(id string) {
 	if k := b.byID[id]; k != nil {
 		delete(b.changing, k.hash)
-		k.restUntil, k.refusals = time.Time{}, 0
+		k.pausedUntil, k.refusals = time.Time{}, 0
 	}
 }
 
@@ -267,7 +267,7 @@
 func (b *books) refusing(now time.Time) []uint32 {
 	var list []uint32
 	for _, k := range b.byID {
-		if k.refusals > 1 && now.Before(k.restUntil) {
+		if k.refusals > 1 && now.Before(k.pausedUntil) {
 			list = append(list, k.hash)
 		}
 	}
--- a/placement/books_test.go
+++ b/placement/books_test.go
@@ -73,7 +73,7 @@
 		b.engine("d2", "a", engine.Decode)
 		for range 2 {
 			b.plan(b.chat(), relay.Try{Tried: []string{"d2"}}).Watch.Finished(refusedAttempt(), false)
-			time.Sleep(restMin)
+			time.Sleep(pauseMin)
 		}
 		told := b.planner.Own()
 		if len(told.Refusing) != 1 || told.Refusing[0] != loadshare.Hash("d1") {
@@ -93,7 +93,7 @@
 		if p := c.plan(c.chat(), relay.Try{Tried: []string{"d2"}}); p.Serve.ID != "d1" {
 			t.Errorf("with no other engine the request goes to %s", p.Serve.ID)
 		}
-		time.Sleep(restMax)
+		time.Sleep(pauseMax)
 		if told := b.planner.Own(); len(told.Refusing) != 0 {
 			t.Errorf("still tells of %v", told.Refusing)
 		}
@@ -112,7 +112,7 @@
 		b.restart("d1", 1, engine.Decode)
 		open := b.plan(b.letter("s"), relay.Try{Number: 1, Whole: true})
 		for range 3 {
-			time.Sleep(restMax)
+			time.Sleep(pauseMax)
 			b.plan(b.letter("s"), relay.Try{Number: 1, Whole: true}).Watch.Finished(refusedAttempt(), false)
 		}
 		b.planner.Heard(&sharepb.Load{Vm: "other", Work: []*sharepb.Work{{Endpoint: loadshare.Hash("d1@1"), PrefillTokens: 20_000}}})
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		all = append(all, e)
-		if d.rest(d.p.books.of(e)) == 0 && (e.Zone == d.p.zone || !d.p.zones.cut(d.now, e.Zone)) {
+		if d.pause(d.p.books.of(e)) == 0 && (e.Zone == d.p.zone || !d.p.zones.cut(d.now, e.Zone)) {
 			good = append(good, e)
 		}
 	}
@@ -84,5 +84,5 @@
 // linkWait is how long the VM's link is busy with requests placed before.
 func (d *decision) linkWait() time.Duration { return d.p.uplink.wait(d.now) }
 
-// rest is how long an endpoint that refused is still to be left alone.
-func (d *decision) rest(k *book) time.Duration { return max(0, k.restUntil.Sub(d.now)) }
+// pause is how long an endpoint that refused is still to be left alone.
+func (d *decision) pause(k *book) time.Duration { return max(0, k.pausedUntil.Sub(d.now)) }
--- a/placement/decoder.go
+++ b/placement/decoder.go
@@ -56,7 +56,7 @@
 // decodeWait is the wait for a place in the batch and for cache memory.
 func (d *decision) decodeWait(e *directory.Endpoint, open work, tokens int) time.Duration {
 	spec := d.service.Engine
-	wait := d.rest(d.p.books.of(e))
+	wait := d.pause(d.p.books.of(e))
 	if open.runs >= max(1, e.Slots) {
 		wait += fullWait
 	}
--- a/placement/engines.go
+++ b/placement/engines.go
@@ -153,9 +153,9 @@
 func (d *decision) readOn(e *directory.Endpoint, chunks []chunk, tokens int) option {
 	o := d.prefillOn(e, chunks, tokens)
 	o.prefill = e
-	rest := d.rest(d.p.books.of(e))
-	o.first += rest
-	o.wait += rest
+	pause := d.pause(d.p.books.of(e))
+	o.first += pause
+	o.wait += pause
 	return o
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -285,7 +285,7 @@
 		} else {
 			p.Watch.Finished(nil, false)
 		}
-		time.Sleep(restMin)
+		time.Sleep(pauseMin)
 		if p := b.plan(b.call(), relay.Try{}); p.Serve.ID != "near" {
 			t.Error("an endpoint is left alone for too long")
 		}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -259,7 +259,7 @@
 	for _, e := range d.endpoints {
 		k := d.p.books.of(e)
 		open := d.p.books.open(k).runs
-		cost := d.wayTo(e) + time.Duration(float64(open)/float64(max(1, e.Slots))*float64(d.p.tuning.ServiceTime)) + d.rest(k)
+		cost := d.wayTo(e) + time.Duration(float64(open)/float64(max(1, e.Slots))*float64(d.p.tuning.ServiceTime)) + d.pause(k)
 		if best == nil || cost < least {
 			best, least = e, cost
 		}
--- a/placement/zones_test.go
+++ b/placement/zones_test.go
@@ -38,7 +38,7 @@
 		if n := fail(); n == 0 || n > cutEndpoints+1 {
 			t.Errorf("%d of 200 requests went to a zone that is cut off", n)
 		}
-		time.Sleep(cutFor + restMax)
+		time.Sleep(cutFor + pauseMax)
 		p := b.plan(b.chat(), relay.Try{Tried: []string{"near0", "near1", "near2", "near3", "near4", "near5"}})
 		p.Watch.FirstEvent()
 		p.Watch.Finished(nil, false)
@@ -55,7 +55,7 @@
 		b.plain("far2", "b")
 		for range 4 {
 			b.plan(b.call(), relay.Try{}).Watch.Finished(unreachableAttempt(), false)
-			time.Sleep(restMax)
+			time.Sleep(pauseMax)
 		}
 	})
 }
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -20,8 +20,8 @@
 
 // The causes. With the first group another plan is made; the second ends the request.
 const (
-	// EndpointLeaves is an endpoint that has said that it leaves.
-	EndpointLeaves Cause = "endpoint-leaves"
+	// EndpointDrains is an endpoint that drains, by its row or by its own response.
+	EndpointDrains Cause = "endpoint-drains"
 	// EndpointGone is an endpoint that is no longer registered.
 	EndpointGone Cause = "endpoint-gone"
 	// EndpointRestarted is an endpoint that has started again under its ID.
@@ -145,7 +145,7 @@
 	case now.Incarnation() != planned.Incarnation():
 		return EndpointRestarted
 	case !now.Usable():
-		return EndpointLeaves
+		return EndpointDrains
 	case now.Role != planned.Role:
 		return EndpointChangesRole
 	}
