--- a/duties/scaling/base.go
+++ b/duties/scaling/base.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 
-	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/table"
 )
 
@@ -18,21 +16,6 @@
 	Base int `json:"base"`
 }
 
-// MalformedRowError is a row of the table that cannot be understood.
-type MalformedRowError struct {
-	Service string
-	Cause   error
-}
-
-// Error implements error.
-func (e *MalformedRowError) Error() string { return fmt.Sprintf("base of %s: %v", e.Service, e.Cause) }
-
-// Reason implements failure.Coded.
-func (e *MalformedRowError) Reason() failure.Reason { return failure.Internal }
-
-// Unwrap returns the cause.
-func (e *MalformedRowError) Unwrap() error { return e.Cause }
-
 func baseKey(service string) table.Key { return table.Key{Table: Table, Row: service} }
 
 // readBase returns the base of a service, if the store holds one.
@@ -43,7 +26,7 @@
 	}
 	var row baseRow
 	if err := json.Unmarshal(list[0].Value, &row); err != nil {
-		return 0, false, &MalformedRowError{Service: service, Cause: err}
+		return 0, false, &table.MalformedRowError{Key: baseKey(service), Version: list[0].Version, Problem: "no base of a service", Cause: err}
 	}
 	return row.Base, true, nil
 }
--- a/duties/usage/reporter_test.go
+++ b/duties/usage/reporter_test.go
@@ -242,7 +242,7 @@
 	}
 	for _, value := range [][]byte{nil, []byte("x"), value[:len(value)/2]} {
 		_, err := decode(table.Row{Value: value})
-		var malformed *MalformedRowError
+		var malformed *table.MalformedRowError
 		if !errors.As(err, &malformed) {
 			t.Errorf("a malformed row gave %v", err)
 		}
--- a/duties/usage/row.go
+++ b/duties/usage/row.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 
-	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/table"
 )
 
@@ -27,21 +26,6 @@
 // rowKey names a window's row.
 func rowKey(w Window) table.Key { return table.Key{Table: Table, Row: fmt.Sprintf("%012d", uint64(w))} }
 
-// MalformedRowError is a row of the table that cannot be understood.
-type MalformedRowError struct {
-	Row   string
-	Cause error
-}
-
-// Error implements error.
-func (e *MalformedRowError) Error() string { return fmt.Sprintf("usage row %s: %v", e.Row, e.Cause) }
-
-// Reason implements failure.Coded.
-func (e *MalformedRowError) Reason() failure.Reason { return failure.Internal }
-
-// Unwrap returns the cause.
-func (e *MalformedRowError) Unwrap() error { return e.Cause }
-
 // encode cannot fail: the record holds only strings and numbers, and goes to memory.
 func (r record) encode() []byte {
 	var out bytes.Buffer
@@ -52,7 +36,7 @@
 	return out.Bytes()
 }
 
-// decode reads a row. The error is *MalformedRowError.
+// decode reads a row. The error is *table.MalformedRowError.
 func decode(row table.Row) (record, error) {
 	var r record
 	z, err := gzip.NewReader(bytes.NewReader(row.Value))
@@ -62,7 +46,7 @@
 		err = errors.Join(err, json.Unmarshal(text, &r))
 	}
 	if err != nil {
-		return record{}, &MalformedRowError{Row: row.Key.Row, Cause: err}
+		return record{}, &table.MalformedRowError{Key: row.Key, Version: row.Version, Problem: "no sum of a window", Cause: err}
 	}
 	return r, nil
 }
