Let a VM that starts use no share until all know it

A VM that had just started used a share at once when it learned a limit, while members of a large region may take seconds to read of it in the roster and keep the holder before; a limit that ended and began again within the wait of a VM that had been suspended cut that wait short. Found by reading the change again; no test had failed. Change: one time before which a VM uses no share, set when it starts beside others, was suspended, or hears somebody again.

--- a/directory/announced.go
+++ b/directory/announced.go
@@ -10,24 +10,24 @@
 // may come back after an outage of the store.
 const announcementMemory = 10 * time.Minute
 
-// Drain makes one incarnation of an endpoint a draining one by its own word, whatever its row says. It
+// Drain makes the incarnation of an endpoint a draining one by its own word, whatever its row says. It
 // tells whether that is news of a registered endpoint.
 //
 // Invariant: a drain that was announced holds for as long as the incarnation lasts. A row that still
 // says that the endpoint is ready was written before it, or by another part of the endpoint.
-func (d *Directory) Drain(incarnation string) bool {
+func (d *Directory) Drain(e *Endpoint) bool {
+	if now := d.Snapshot().Endpoint(e.ID); now == nil || now.Draining || now.Born != e.Born {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, e := range d.byID {
-		if e.Incarnation() != incarnation {
-			continue
-		}
-		news := e.Usable()
-		d.announced[incarnation] = clock.Now()
-		d.publish()
-		return news
+	now := d.byID[e.ID]
+	if now == nil || now.Draining || now.Born != e.Born {
+		return false
 	}
-	return false
+	d.announced[now.Incarnation()] = clock.Now()
+	d.publish()
+	return true
 }
 
 // applyAnnouncements makes endpoints draining that have announced it. The caller holds mu.
--- a/directory/announced_test.go
+++ b/directory/announced_test.go
@@ -15,11 +15,12 @@
 func TestAnnouncedDrainHoldsForAnIncarnation(t *testing.T) {
 	d := New(nil)
 	d.Put(row("e1", 1, 1, false), row("e2", 1, 2, false))
+	first := &Endpoint{Registration: row("e1", 1, 1, false)}
 	usable := func() int { return len(d.Snapshot().Service("llm")) }
-	if !d.Drain("e1@1") || usable() != 1 {
+	if !d.Drain(first) || usable() != 1 {
 		t.Fatalf("%d usable", usable())
 	}
-	if d.Drain("e1@1") {
+	if d.Drain(first) {
 		t.Error("the same drain is news again")
 	}
 	d.Put(row("e1", 1, 3, false))
@@ -35,7 +36,7 @@
 	if usable() != 2 {
 		t.Error("the next incarnation is not usable")
 	}
-	if d.Drain("unknown") || d.Drain("e1@1") {
+	if d.Drain(&Endpoint{Registration: row("unknown", 1, 9, false)}) || d.Drain(first) {
 		t.Error("a drain of no registered incarnation is news")
 	}
 }
--- a/signals/block.go
+++ b/signals/block.go
@@ -16,7 +16,8 @@
 	BackingOff Reason = "backing-off"
 )
 
-// Block is why an endpoint takes nothing from this VM now, and for how long. The zero value is none.
+// Block is why an endpoint takes nothing from this VM now, and for how long it does from none, as far as
+// this one can tell. The zero value is none.
 type Block struct {
 	Reason Reason
 	For    time.Duration
@@ -55,8 +56,8 @@
 	if !s.limit.limited {
 		return Block{}
 	}
-	if wait := s.limit.wait(now); wait > 0 {
-		return Block{Reason: RateLimited, For: wait}
+	if s.limit.wait(now) > 0 {
+		return Block{Reason: RateLimited, For: s.limit.freeIn(now)}
 	}
 	return Block{}
 }
--- a/signals/board.go
+++ b/signals/board.go
@@ -25,9 +25,9 @@
 	Tell func(loadshare.News)
 	// Endpoints returns the newest picture of the endpoints; nil names none.
 	Endpoints func() *directory.Snapshot
-	// Drain makes an incarnation of an endpoint a draining one, and tells whether it was not yet; nil
-	// does nothing.
-	Drain func(incarnation string) bool
+	// Drain makes an endpoint's incarnation a draining one, and tells whether it was not yet; nil does
+	// nothing.
+	Drain func(*directory.Endpoint) bool
 }
 
 // Board holds the signals of all endpoints. It is safe for concurrent use; its lock is a leaf, and Tell
@@ -44,8 +44,9 @@
 	// signal.
 	states  map[uint64]*state
 	members loadshare.Membership
-	// membersAt is when the members were last confirmed.
-	membersAt time.Time
+	// membersAt is when the members were last confirmed, and sharesFrom before when no share is used,
+	// since the others may not know yet that this VM is there.
+	membersAt, sharesFrom time.Time
 }
 
 // state is what is known of one incarnation of an endpoint.
@@ -156,7 +157,7 @@
 // drain makes an endpoint a draining one, and tells whether it was not yet. The caller does not hold
 // mu.
 func (b *Board) drain(e *directory.Endpoint, from string, value any) bool {
-	if b.cfg.Drain == nil || !b.cfg.Drain(e.Incarnation()) {
+	if b.cfg.Drain == nil || !b.cfg.Drain(e) {
 		return false
 	}
 	count("drain", "learned")
@@ -231,9 +232,15 @@
 
 // share gives this VM its part of a limit. The caller holds mu.
 func (b *Board) share(endpoint uint64, s *state, handover time.Duration) {
-	if s.limit.limited {
-		s.limit.setShare(b.now(), shareOf(b.cfg.VM, endpoint, s.zone, b.members, s.limit.perSecond), handover)
+	if !s.limit.limited {
+		return
+	}
+	now := b.now()
+	from := now.Add(handover)
+	if b.sharesFrom.After(from) {
+		from = b.sharesFrom
 	}
+	s.limit.setShare(from, shareOf(b.cfg.VM, endpoint, s.zone, b.members, s.limit.perSecond))
 }
 
 // SetMembers takes in which VMs are there. It is called several times in membershipTTL, also when
@@ -242,21 +249,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	lapsed := now.Sub(b.membersAt) > membershipTTL || alone(b.members) && !alone(m)
+	joined := len(b.members.Live) == 1 && len(m.Live) > 1
+	lapsed := now.Sub(b.membersAt) > membershipTTL || joined
 	b.membersAt = now
 	if !lapsed && m.Registered == b.members.Registered && slices.Equal(m.Live, b.members.Live) {
 		return
 	}
 	b.members = m
-	wait := handover
 	if lapsed {
-		wait = regain
+		b.sharesFrom = now.Add(regain)
+		b.dropShares()
 	}
 	for endpoint, s := range b.states {
-		if lapsed {
-			s.limit.dropShare()
-		}
-		b.share(endpoint, s, wait)
+		b.share(endpoint, s, handover)
 	}
 }
 
@@ -266,14 +271,16 @@
 	if now.Sub(b.membersAt) <= membershipTTL || b.members.Registered == 1 {
 		return
 	}
+	b.dropShares()
+}
+
+// dropShares gives all shares up. The caller holds mu.
+func (b *Board) dropShares() {
 	for _, s := range b.states {
 		s.limit.dropShare()
 	}
 }
 
-// alone tells whether a VM hears none of the others.
-func alone(m loadshare.Membership) bool { return len(m.Live) == 1 && m.Registered > 1 }
-
 // keepIdle is how long the state of an endpoint is kept after its last signal. All VMs keep it far longer
 // than news takes, so that the versions of a limit go on from where they were.
 const keepIdle = 10 * time.Minute
--- a/signals/limit.go
+++ b/signals/limit.go
@@ -97,12 +97,11 @@
 	return &sharepb.EndpointSignal{Endpoint: endpoint, Version: l.version, Limited: l.limited, LimitMilli: uint64(l.perSecond * 1000)}
 }
 
-// setShare puts this VM's part in force. handover delays one that others held before.
-func (l *limit) setShare(now time.Time, s share, handover time.Duration) {
+// setShare puts this VM's part in force: at once if it holds one already, otherwise from a time on.
+func (l *limit) setShare(from time.Time, s share) {
+	s.from = from
 	if l.share.perSecond > 0 {
 		s.from = l.share.from
-	} else {
-		s.from = now.Add(handover)
 	}
 	fresh := l.share.perSecond == 0 && s.perSecond > 0
 	l.share = s
@@ -126,3 +125,12 @@
 	}
 	return min(untilProbe, max(l.share.from.Sub(now), l.bucket.wait(now, interval(l.share.perSecond))))
 }
+
+// freeIn is how long until the endpoint takes something from any VM, as far as this one can tell.
+func (l *limit) freeIn(now time.Time) time.Duration {
+	wait := l.wait(now)
+	if l.share.perSecond == 0 && l.perSecond >= leastRate {
+		wait = min(wait, interval(l.perSecond))
+	}
+	return wait
+}
--- a/signals/model_test.go
+++ b/signals/model_test.go
@@ -37,6 +37,8 @@
 	// holds is set for a share, which may be used from so many steps on.
 	holds bool
 	from  int
+	// barred is for how many steps no share may be used.
+	barred int
 }
 
 type modelState struct {
@@ -58,6 +60,7 @@
 	b := New(Config{VM: modelName(i), Now: func() time.Time { return now }})
 	s := b.add(Hash(modelEndpoint), modelEndpoint)
 	s.limit.limited, s.limit.perSecond, s.limit.namedAt = true, modelLimit, now
+	b.sharesFrom = now.Add(time.Duration(v.barred) * tick)
 	if v.live != 0 {
 		b.members, b.membersAt = members(v.live), now.Add(-time.Duration(v.liveAge)*tick)
 	}
@@ -108,7 +111,7 @@
 	for i := range next.vms {
 		v := &next.vms[i]
 		v.liveAge = min(v.liveAge+1, longAgo)
-		v.from = max(v.from-1, 0)
+		v.from, v.barred = max(v.from-1, 0), max(v.barred-1, 0)
 		for j := range v.heard {
 			v.heard[j] = min(v.heard[j]+1, longAgo)
 			if o := s.vms[j]; !o.dead && !o.suspended && (s.cut < 0 || (i == s.cut) == (j == s.cut)) {
@@ -139,9 +142,13 @@
 	share := b.states[Hash(modelEndpoint)].limit.share
 	v.live, v.liveAge, v.holds = live, 0, share.perSecond > 0
 	v.from = int(max(0, share.from.Sub(now)) / tick)
+	v.barred = int(max(0, b.sharesFrom.Sub(now)) / tick)
 	if !v.holds || fault.noHandover {
 		v.from = 0
 	}
+	if fault.noHandover {
+		v.barred = 0
+	}
 }
 
 // after returns the states that one event, or none, leads to.
@@ -213,7 +220,7 @@
 	start := modelState{cut: -1}
 	for i := range start.vms {
 		start.vms[i].look(i, fault)
-		start.vms[i].from = 0
+		start.vms[i].from, start.vms[i].barred = 0, 0
 	}
 	seen := map[modelState]bool{start: true}
 	parents := map[modelState]modelState{}
--- a/signals/share.go
+++ b/signals/share.go
@@ -20,7 +20,7 @@
 	// membershipTTL is how long the known VMs count without being confirmed. A VM that was suspended
 	// for longer may have lost its shares meanwhile.
 	membershipTTL = time.Second
-	// regain is how long a VM that was suspended, or heard nobody, waits for its shares: whom it has not
+	// regain is how long a VM that has started, was suspended, or heard nobody, waits for its shares: whom it has not
 	// heard since counts as silent by then, whatever moment it looked at last.
 	regain = loadshare.SilentAfter + membershipTTL
 	// leastRate is the lowest limit, in requests a second, that is shared. A lower one lets only
