--- a/loadshare/news_test.go
+++ b/loadshare/news_test.go
@@ -31,6 +31,9 @@
 	for _, key := range n.Cleared {
 		h.heard["cleared "+string(key)]++
 	}
+	for _, s := range n.Signals {
+		h.heard[fmt.Sprint("signal ", s.Endpoint, s.Version, s.Limited, s.LimitMilli, s.Draining)]++
+	}
 }
 
 func (h *hearer) times(what string) int {
@@ -85,7 +88,8 @@
 			list := startHearers(t, size)
 			time.Sleep(300 * time.Millisecond) // collectors are heard
 			for i, h := range list {
-				h.x.Tell(News{Crashes: []*sharepb.Crash{{Id: uint64(i)}}, Cleared: [][]byte{[]byte(h.peer.Name)}})
+				h.x.Tell(News{Crashes: []*sharepb.Crash{{Id: uint64(i)}}, Cleared: [][]byte{[]byte(h.peer.Name)},
+					Signals: []*sharepb.EndpointSignal{{Endpoint: uint64(i), Version: 1, Limited: true, LimitMilli: 4500}, {Endpoint: uint64(i), Draining: true}}})
 			}
 			began := time.Now()
 			for i, from := range list {
@@ -94,7 +98,9 @@
 						continue
 					}
 					eventually(t, fmt.Sprintf("%s to hear of %s", h.peer.Name, from.peer.Name), func() bool {
-						return h.times(fmt.Sprint("crash ", i)) > 0 && h.times("cleared "+from.peer.Name) > 0
+						return h.times(fmt.Sprint("crash ", i)) > 0 && h.times("cleared "+from.peer.Name) > 0 &&
+							h.times(fmt.Sprint("signal ", uint64(i), uint32(1), true, uint64(4500), false)) > 0 &&
+							h.times(fmt.Sprint("signal ", uint64(i), uint32(0), false, uint64(0), true)) > 0
 					})
 				}
 			}
--- a/signals/board.go
+++ b/signals/board.go
@@ -1,7 +1,6 @@
 package signals
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -229,93 +228,3 @@
 	count("limit", event)
 	klog.InfoS("signals: rate limit "+event, "endpoint", s.id, "perSecond", now.perSecond, "ownPerSecond", s.limit.share.perSecond, "rank", s.limit.share.rank, from, value)
 }
-
-// share gives this VM its part of a limit. The caller holds mu.
-func (b *Board) share(endpoint uint64, s *state, handover time.Duration) {
-	if !s.limit.limited {
-		return
-	}
-	now := b.now()
-	from := now.Add(handover)
-	if b.sharesFrom.After(from) {
-		from = b.sharesFrom
-	}
-	s.limit.setShare(from, shareOf(b.cfg.VM, endpoint, s.zone, b.members, s.limit.perSecond))
-}
-
-// SetMembers takes in which VMs are there. It is called several times in membershipTTL, also when
-// nothing has changed.
-func (b *Board) SetMembers(m loadshare.Membership) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
-	joined := len(b.members.Live) == 1 && len(m.Live) > 1
-	lapsed := now.Sub(b.membersAt) > membershipTTL || joined
-	b.membersAt = now
-	if !lapsed && m.Registered == b.members.Registered && slices.Equal(m.Live, b.members.Live) {
-		return
-	}
-	b.members = m
-	if lapsed {
-		b.sharesFrom = now.Add(regain)
-		b.dropShares()
-	}
-	for endpoint, s := range b.states {
-		b.share(endpoint, s, handover)
-	}
-}
-
-// lapse drops all shares once the members have not been confirmed for membershipTTL: the VM was
-// suspended, and others may hold them by now. The caller holds mu.
-func (b *Board) lapse(now time.Time) {
-	if now.Sub(b.membersAt) <= membershipTTL || b.members.Registered == 1 {
-		return
-	}
-	b.dropShares()
-}
-
-// dropShares gives all shares up. The caller holds mu.
-func (b *Board) dropShares() {
-	for _, s := range b.states {
-		s.limit.dropShare()
-	}
-}
-
-// keepIdle is how long the state of an endpoint is kept after its last signal. All VMs keep it far longer
-// than news takes, so that the versions of a limit go on from where they were.
-const keepIdle = 10 * time.Minute
-
-// idle tells whether the endpoint has sent no signal for long.
-func (s *state) idle(now time.Time) bool {
-	return !s.limit.limited && now.Sub(s.limit.toldAt) > keepIdle && now.Sub(s.backoff.until) > keepIdle
-}
-
-// keepUnknown is how long signals of an endpoint are kept that is not registered: its row may be on
-// its way.
-const keepUnknown = 10 * time.Second
-
-// Keep forgets endpoints that are gone or have started again, and names those that have registered since
-// another VM told of them.
-func (b *Board) Keep(snapshot *directory.Snapshot) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.states) == 0 {
-		return
-	}
-	live := map[uint64]*directory.Endpoint{}
-	for _, e := range snapshot.All() {
-		live[Hash(e)] = e
-	}
-	now := b.now()
-	for endpoint, s := range b.states {
-		e := live[endpoint]
-		gone := e == nil && (s.id != "" || now.Sub(s.touched) > keepUnknown)
-		switch {
-		case gone || s.idle(now):
-			delete(b.states, endpoint)
-		case e != nil && s.id == "":
-			b.bind(endpoint, s, e)
-		}
-	}
-	b.noteKnown()
-}
--- a/signals/limit_test.go
+++ b/signals/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -238,3 +239,31 @@
 		}
 	}
 }
+
+// While a limit leaves too little for all, urgent requests get more of it than less urgent ones, which
+// are not starved.
+func TestUrgentRequestsComeFirst(t *testing.T) {
+	b := newBench()
+	e := endpoint("e1", 1)
+	b.Learn(Response{Endpoint: e, Sent: b.now, Signal: Signal{Limit: Limit{Kind: Named, PerSecond: 10}}})
+	random := rand.New(rand.NewPCG(1, 1))
+	sent := [2]int{}
+	const requests = 4000
+	for range requests {
+		b.pass(10 * time.Millisecond)
+		b.Learn(Response{Endpoint: e, Sent: b.now, Signal: Signal{Limit: Limit{Kind: Named, PerSecond: 10}}})
+		priority := random.IntN(2)
+		if block, _ := b.Check(e, priority, random.Float64); block.Reason != "" {
+			continue
+		}
+		if _, block := b.Take(e); block.Reason == "" {
+			sent[priority]++
+		}
+	}
+	if all := float64(sent[0] + sent[1]); float64(sent[0]) < 0.6*all || float64(sent[1]) < 0.25*all {
+		t.Errorf("%d urgent and %d less urgent requests were sent", sent[0], sent[1])
+	}
+	if all := sent[0] + sent[1]; all < 360 {
+		t.Errorf("%d requests of 400 that the limit allows were sent", all)
+	}
+}
