--- a/loadshare/membership.go
+++ b/loadshare/membership.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -38,12 +39,7 @@
 			m.Live = append(m.Live, Member{p.Name, p.Zone})
 		}
 	}
-	slices.SortFunc(m.Live, func(a, b Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(m.Live, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return m
 }
 
