--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,7 +149,7 @@
 	g := &Gateway{settings: s, platform: p, network: n, started: time.Now(), freshness: freshness.New(nil)}
 	g.state = &state{freshness: g.freshness, revoke: newRevokeBudget(s.RevokeWithin), applyWithin: s.ApplyWithin}
 	g.signals = signals.New(signals.Config{
-		VM: s.VM, Tell: func(n loadshare.News) { g.exchange.Tell(n) }, Endpoints: func() *directory.Snapshot { return g.directory.Snapshot() },
+		VM: s.VM, Publish: func(n loadshare.News) { g.exchange.Tell(n) }, Endpoints: func() *directory.Snapshot { return g.directory.Snapshot() },
 		Drain: func(e *directory.Endpoint) bool { return g.directory.Drain(e) },
 	})
 	if p.Observe != nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,7 +40,7 @@
 // heardNews takes in what is told to all VMs.
 func (g *Gateway) heardNews(n loadshare.News) {
 	g.guard.Heard(n)
-	g.signals.Heard(n.Signals)
+	g.signals.Receive(n.Signals)
 }
 
 // heard takes in another VM's datagram.
--- a/loadshare/membership.go
+++ b/loadshare/membership.go
@@ -53,8 +53,8 @@
 		return unheard
 	case !r.collects(now):
 		r.collectsSince = time.Time{}
-		told := r.silentRegion
-		return func(p Peer) bool { return now.Sub(told.at) >= SilentAfter || told.names[Hash(p.Name)] }
+		report := r.silentRegion
+		return func(p Peer) bool { return now.Sub(report.at) >= SilentAfter || report.names[Hash(p.Name)] }
 	}
 	if r.collectsSince.IsZero() {
 		r.collectsSince = now
@@ -64,8 +64,8 @@
 			// The members of a zone turn to a new collector only when the one before it is silent.
 			return unheard(p) && now.Sub(r.collectsSince) >= SilentAfter
 		}
-		told := r.silentZones[p.Zone]
-		return now.Sub(told.at) >= SilentAfter || told.names[Hash(p.Name)]
+		report := r.silentZones[p.Zone]
+		return now.Sub(report.at) >= SilentAfter || report.names[Hash(p.Name)]
 	}
 }
 
--- a/signals/board.go
+++ b/signals/board.go
@@ -20,8 +20,8 @@
 	VM string
 	// Now is where the time comes from; nil is the VM's clock, which goes on during a suspension.
 	Now func() time.Time
-	// Tell makes all other VMs hear of signals; nil tells nobody.
-	Tell func(loadshare.News)
+	// Publish sends signals to all other VMs; nil sends none.
+	Publish func(loadshare.News)
 	// Endpoints returns the newest picture of the endpoints; nil names none.
 	Endpoints func() *directory.Snapshot
 	// Drain makes an endpoint's incarnation a draining one, and tells whether it was not yet; nil does
@@ -29,8 +29,8 @@
 	Drain func(*directory.Endpoint) bool
 }
 
-// Board holds the signals of all endpoints. It is safe for concurrent use; its lock is a leaf, and Tell
-// and Drain are called without it.
+// Board holds the signals of all endpoints. It is safe for concurrent use; its lock is a leaf, and
+// Publish and Drain are called without it.
 type Board struct {
 	cfg Config
 	now func() time.Time
@@ -111,12 +111,12 @@
 	if r.Signal == (Signal{}) && b.quiet(r.Endpoint) {
 		return
 	}
-	told := b.learnState(r)
+	updates := b.learnState(r)
 	if r.Signal.Draining && b.drain(r.Endpoint, "request", r.Request) {
-		told = append(told, &sharepb.EndpointSignal{Endpoint: Hash(r.Endpoint), Draining: true})
+		updates = append(updates, &sharepb.EndpointSignal{Endpoint: Hash(r.Endpoint), Draining: true})
 	}
-	if len(told) > 0 && b.cfg.Tell != nil {
-		b.cfg.Tell(loadshare.News{Signals: told})
+	if len(updates) > 0 && b.cfg.Publish != nil {
+		b.cfg.Publish(loadshare.News{Signals: updates})
 	}
 }
 
@@ -164,33 +164,33 @@
 	return true
 }
 
-// Heard takes in what another VM told. A drain of an endpoint that is not registered here yet is left
-// to its own next response.
-func (b *Board) Heard(list []*sharepb.EndpointSignal) {
-	for _, told := range list {
-		if told.Version > 0 {
-			b.hearLimit(told)
+// Receive takes in what another VM published. A drain of an endpoint that is not registered here yet is
+// left to its next response.
+func (b *Board) Receive(list []*sharepb.EndpointSignal) {
+	for _, update := range list {
+		if update.Version > 0 {
+			b.receiveLimit(update)
 		}
-		if !told.Draining {
+		if !update.Draining {
 			continue
 		}
-		if e := b.lookUp(told.Endpoint); e != nil {
+		if e := b.lookUp(update.Endpoint); e != nil {
 			b.drain(e, "from", "another VM")
 		}
 	}
 }
 
-func (b *Board) hearLimit(told *sharepb.EndpointSignal) {
+func (b *Board) receiveLimit(update *sharepb.EndpointSignal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.states[told.Endpoint]
+	s := b.states[update.Endpoint]
 	if s == nil {
-		s = b.add(told.Endpoint, b.lookUp(told.Endpoint))
+		s = b.add(update.Endpoint, b.lookUp(update.Endpoint))
 	}
 	s.touched = b.now()
 	before := s.limit
-	if s.limit.heard(s.touched, told) {
-		b.limitChanged(told.Endpoint, s, before, "version", told.Version)
+	if s.limit.merge(s.touched, update) {
+		b.limitChanged(update.Endpoint, s, before, "version", update.Version)
 	}
 }
 
--- a/signals/board_test.go
+++ b/signals/board_test.go
@@ -47,7 +47,7 @@
 func TestSignalsComeBeforeTheRow(t *testing.T) {
 	b := newBench()
 	e := endpoint("e1", 1)
-	b.Heard([]*sharepb.EndpointSignal{{Endpoint: Hash(e), Version: 3, Limited: true, LimitMilli: 1000}})
+	b.Receive([]*sharepb.EndpointSignal{{Endpoint: Hash(e), Version: 3, Limited: true, LimitMilli: 1000}})
 	if _, limited := b.Check(e, 0, func() float64 { return 0 }); limited {
 		t.Error("an endpoint that is not registered is named")
 	}
--- a/signals/designs_test.go
+++ b/signals/designs_test.go
@@ -13,8 +13,8 @@
 type design struct {
 	name string
 	rate func(f *fleet, v *vm, e *server, own, all float64) float64
-	// told is how many messages of signalBytes each VM sends a second beside the limit's own.
-	told float64
+	// messages is how many messages of signalBytes each VM sends a second beside the limit's own.
+	messages float64
 }
 
 // signalBytes is about what one signal takes in a datagram.
@@ -24,7 +24,7 @@
 	{name: "equal shares", rate: func(f *fleet, _ *vm, e *server, _, _ float64) float64 {
 		return e.limit.PerSecond / float64(len(f.vms))
 	}},
-	{name: "shares by demand", told: 2, rate: func(_ *fleet, _ *vm, e *server, own, all float64) float64 {
+	{name: "shares by demand", messages: 2, rate: func(_ *fleet, _ *vm, e *server, own, all float64) float64 {
 		if all == 0 {
 			return 0
 		}
@@ -101,7 +101,7 @@
 			f.limitAll(1, perSecond)
 			utilisation, most := d.play(f, length)
 			used[d.name] = utilisation
-			bytes := d.told*signalBytes*float64(min(vms-1, 15)) + signalBytes*float64(newsTimes)/confirmEvery.Seconds()
+			bytes := d.messages*signalBytes*float64(min(vms-1, 15)) + signalBytes*float64(newsTimes)/confirmEvery.Seconds()
 			t.Logf("%-18s %4d %6.0f %12.2f %10d %14.0f", d.name, vms, load, utilisation, most, bytes)
 			if d.name == "few holders" && (most > tolerated(perSecond) || utilisation < 0.9) {
 				t.Errorf("%d VMs: %.2f of the limit, %d in a window", vms, utilisation, most)
@@ -113,5 +113,5 @@
 	}
 }
 
-// newsTimes is how often a VM hears each signal.
+// newsTimes is how often a VM receives each signal.
 const newsTimes = 3
--- a/signals/fleet_test.go
+++ b/signals/fleet_test.go
@@ -23,7 +23,7 @@
 	gossip, answer time.Duration
 	// parted tells whether nothing passes between two zones.
 	parted func(a, b string) bool
-	// signals is the number of signals told, refused that of requests that no endpoint took.
+	// signals is the number of signals published, refused that of requests that no endpoint took.
 	signals, refused, served int
 	zones                    int
 }
@@ -91,7 +91,7 @@
 func (f *fleet) join(name, zone string, perSecond float64) *vm {
 	v := &vm{name: name, zone: zone, perSecond: perSecond, heardAt: map[string]time.Time{}}
 	registered := f.registered()
-	v.board = New(Config{VM: name, Now: func() time.Time { return f.now }, Endpoints: func() *directory.Snapshot { return registered }, Tell: func(n loadshare.News) { f.tell(v, n) }})
+	v.board = New(Config{VM: name, Now: func() time.Time { return f.now }, Endpoints: func() *directory.Snapshot { return registered }, Publish: func(n loadshare.News) { f.publish(v, n) }})
 	for _, o := range f.vms {
 		v.heardAt[o.name], o.heardAt[name] = f.now, f.now
 	}
@@ -127,7 +127,7 @@
 // works tells whether a VM does anything now.
 func (f *fleet) works(v *vm) bool { return !v.dead && !f.now.Before(v.suspended) }
 
-func (f *fleet) tell(from *vm, n loadshare.News) {
+func (f *fleet) publish(from *vm, n loadshare.News) {
 	f.signals += len(n.Signals)
 	for _, v := range f.vms {
 		if v == from || f.parted(from.zone, v.zone) {
@@ -142,7 +142,7 @@
 	switch {
 	case v.dead:
 	case f.works(v):
-		v.board.Heard(n.Signals)
+		v.board.Receive(n.Signals)
 	default:
 		f.at(v.suspended.Sub(f.now), func() { f.hear(v, n) })
 	}
--- a/signals/keep.go
+++ b/signals/keep.go
@@ -12,7 +12,7 @@
 
 // idle tells whether the endpoint has sent no signal for long.
 func (s *state) idle(now time.Time) bool {
-	return !s.limit.limited && now.Sub(s.limit.toldAt) > keepIdle && now.Sub(s.backoff.until) > keepIdle
+	return !s.limit.limited && now.Sub(s.limit.versionAt) > keepIdle && now.Sub(s.backoff.until) > keepIdle
 }
 
 // keepUnknown is how long signals of an endpoint are kept that is not registered: its row may be on
@@ -20,7 +20,7 @@
 const keepUnknown = 10 * time.Second
 
 // Keep forgets endpoints that are gone or have started again, and names those that have registered since
-// another VM told of them.
+// another VM published signals of them.
 func (b *Board) Keep(snapshot *directory.Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/signals/limit.go
+++ b/signals/limit.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// confirmEvery is how often a limit that is still named is told to the other VMs.
+	// confirmEvery is how often a limit that is still named is published to the other VMs.
 	confirmEvery = 500 * time.Millisecond
 	// clearAfter is how long no response may have named a limit, and clearResponses how many have to
 	// have come without one, before the limit is taken to be over.
@@ -28,9 +28,9 @@
 	version   uint32
 	limited   bool
 	perSecond float64
-	// namedAt is when a response was last known to name the limit, toldAt when this VM last made a
-	// version of it.
-	namedAt, toldAt time.Time
+	// namedAt is when a response was last known to name the limit, versionAt when the present
+	// version of it was made or received.
+	namedAt, versionAt time.Time
 	// unlimited counts this VM's responses without a limit to requests sent after namedAt.
 	unlimited int
 
@@ -40,8 +40,8 @@
 	takenAt time.Time
 }
 
-// observe takes in a response to this VM. It tells whether the others are to know.
-func (l *limit) observe(now time.Time, named Limit, sent time.Time) (tell bool) {
+// observe takes in a response to this VM. It reports whether to publish the new version.
+func (l *limit) observe(now time.Time, named Limit, sent time.Time) (publish bool) {
 	switch named.Kind {
 	case Named:
 		return l.name(now, min(named.PerSecond, mostPerSecond))
@@ -51,20 +51,20 @@
 	return false
 }
 
-func (l *limit) name(now time.Time, perSecond float64) (tell bool) {
+func (l *limit) name(now time.Time, perSecond float64) (publish bool) {
 	same := l.limited && l.perSecond == perSecond
 	l.limited, l.perSecond, l.namedAt, l.unlimited = true, perSecond, now, 0
-	if same && now.Sub(l.toldAt) < confirmEvery {
+	if same && now.Sub(l.versionAt) < confirmEvery {
 		return false
 	}
 	l.version++
-	l.toldAt = now
+	l.versionAt = now
 	return true
 }
 
 // miss takes in a response without a limit. Responses may overtake each other, so only those count
 // whose requests were sent after the limit was last named.
-func (l *limit) miss(now, sent time.Time) (tell bool) {
+func (l *limit) miss(now, sent time.Time) (publish bool) {
 	if !l.limited || !sent.After(l.namedAt) {
 		return false
 	}
@@ -73,26 +73,26 @@
 	}
 	l.limited = false
 	l.version++
-	l.toldAt = now
+	l.versionAt = now
 	return true
 }
 
-// heard takes in what another VM told. It tells whether that counts.
-func (l *limit) heard(now time.Time, s *sharepb.EndpointSignal) bool {
+// merge takes in what another VM published. It reports whether that counts.
+func (l *limit) merge(now time.Time, s *sharepb.EndpointSignal) bool {
 	perSecond := float64(s.LimitMilli) / 1000
 	newer := s.Version > l.version
 	stricter := s.Version == l.version && s.Limited && (!l.limited || perSecond < l.perSecond)
 	if !newer && !stricter {
 		return false
 	}
-	l.version, l.limited, l.perSecond, l.toldAt, l.unlimited = s.Version, s.Limited, perSecond, now, 0
+	l.version, l.limited, l.perSecond, l.versionAt, l.unlimited = s.Version, s.Limited, perSecond, now, 0
 	if l.limited {
 		l.namedAt = now
 	}
 	return true
 }
 
-// signal is what the other VMs are told.
+// signal is what is published to the other VMs.
 func (l *limit) signal(endpoint uint64) *sharepb.EndpointSignal {
 	return &sharepb.EndpointSignal{Endpoint: endpoint, Version: l.version, Limited: l.limited, LimitMilli: uint64(l.perSecond * 1000)}
 }
