Keep a request that crashes endpoints from taking a whole small group

Cause: nothing limited how fast the three crashes that are allowed may come. A retry went out a millisecond after a crash, and a repeat through another VM too, whatever was left. VMs knew of a crash from its report, but did not use it before the third, neither for the request nor for the endpoint that was down.

Ruled out: lost reports (all VMs had them in milliseconds).

Change: a request suspected of n crashes runs only on endpoints that leave n others of the group up (all but one of a smaller group), the same ones on all VMs; checked again before each send. A reported crash takes the endpoint out of the choice on all VMs. Not held back: requests with a complete response in the last ten seconds, those whose crash another request explains better, and those at a single crash while endpoints crash by themselves.

Guard.Check also returns the suspicion, so its callers in tests change by one value; their checks are the same.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -120,7 +120,8 @@
 const replacementTime = 5 * time.Second
 
 // handleEndpointDown handles an endpoint that this VM or another one has found down.
-func (g *Gateway) handleEndpointDown(*directory.Endpoint) {
+func (g *Gateway) handleEndpointDown(e *directory.Endpoint) {
+	g.planner.MarkDown(e)
 	g.endpoints.Expedite(replacementTime)
 }
 
--- a/placement/blocked.go
+++ b/placement/blocked.go
@@ -46,6 +46,9 @@
 
 // unavailable returns the refusal of a request for which no endpoint is usable.
 func (d *decision) unavailable(message string) *failure.Request {
+	if d.numWithheld > 0 {
+		return d.withheld()
+	}
 	if d.numBlocked == 0 {
 		return noEndpoint(message, d.p.tuning.ComeBack)
 	}
--- /dev/null
+++ b/placement/expendable.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/relay"
+)
+
+const (
+	// downTTL is how long an endpoint that was found down is avoided. By then its row has expired,
+	// or it is back under the same incarnation.
+	downTTL = 5 * time.Second
+	// groupPeakTTL is how long the previous size of a group that has shrunk is its reference: longer
+	// than it takes to replace a crashed endpoint.
+	groupPeakTTL = 10 * time.Second
+	// suspectRetryAfter is the shortest time after which a suspect should retry. It takes seconds to
+	// replace a crashed endpoint.
+	suspectRetryAfter = time.Second
+)
+
+// down reports whether the endpoint was found down within downTTL.
+func (e *endpointLoad) down(now time.Time) bool {
+	return !e.downAt.IsZero() && now.Sub(e.downAt) < downTTL
+}
+
+// MarkDown records that an endpoint accepts no more connections.
+func (p *Planner) MarkDown(e *directory.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads.get(e).downAt = p.now()
+	p.recordGroups(p.directory.Snapshot())
+}
+
+// group identifies the endpoints that can replace one another: those of a service that either only
+// prefill or do not.
+type group struct {
+	service  string
+	prefills bool
+}
+
+func groupOf(e *directory.Endpoint) group {
+	return group{service: e.Service, prefills: e.Role == engine.Prefill}
+}
+
+// groupSize is the number of endpoints of a group that are up.
+type groupSize struct {
+	current int
+	// peak is the largest size since shrunkAt, which is when the group last began to shrink.
+	peak     int
+	shrunkAt time.Time
+}
+
+// groupSizes holds the size of each group.
+type groupSizes map[group]*groupSize
+
+// record records the current size of a group.
+func (s *groupSize) record(now time.Time, size int) {
+	if s.current >= s.peak || now.Sub(s.shrunkAt) > groupPeakTTL {
+		s.peak, s.shrunkAt = s.current, now
+	}
+	s.current = size
+}
+
+// reference returns the size of the group before it shrank, or its current size if that was longer
+// than groupPeakTTL ago.
+func (s *groupSize) reference(now time.Time) int {
+	if now.Sub(s.shrunkAt) > groupPeakTTL {
+		return s.current
+	}
+	return max(s.current, s.peak)
+}
+
+// recordGroups records the sizes of all groups. The caller holds mu.
+func (p *Planner) recordGroups(endpoints *directory.Snapshot) {
+	now := p.now()
+	sizes := map[group]int{}
+	for g := range p.groups {
+		sizes[g] = 0
+	}
+	for _, e := range endpoints.All() {
+		if e.Usable() && !p.loads.get(e).down(now) {
+			sizes[groupOf(e)]++
+		}
+	}
+	for g, size := range sizes {
+		s := p.groups[g]
+		if s == nil {
+			s = &groupSize{}
+			p.groups[g] = s
+		}
+		s.record(now, size)
+		if s.reference(now) == 0 {
+			delete(p.groups, g)
+		}
+	}
+}
+
+// expendableIn returns the endpoints of a group on which a suspect may run. If it crashes them all,
+// as many others stay up as it is suspected of having crashed, but at most all but one of the
+// group's usual number. All VMs choose the same ones, as far as they know the same endpoints to be
+// up, so that copies of the request on different VMs crash no more. The caller holds mu.
+func (p *Planner) expendableIn(g group, suspicion relay.Suspicion) []*directory.Endpoint {
+	now := p.now()
+	var up []*directory.Endpoint
+	for _, e := range p.directory.Snapshot().Service(g.service) {
+		if groupOf(e) == g && !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start)) {
+			up = append(up, e)
+		}
+	}
+	usual := len(up)
+	if s := p.groups[g]; s != nil {
+		usual = max(usual, s.reference(now))
+	}
+	reserved := min(suspicion.Crashes, usual-1)
+	return rendezvousTop(suspicion.Key, up, max(0, len(up)-reserved))
+}
+
+// expendable returns the endpoints on which the request may run: all of them unless it is suspected
+// of crashing endpoints.
+func (d *decision) expendable(endpoints []*directory.Endpoint) []*directory.Endpoint {
+	if d.prior.Suspicion.Crashes == 0 {
+		return endpoints
+	}
+	allowed := map[group][]*directory.Endpoint{}
+	var list []*directory.Endpoint
+	for _, e := range endpoints {
+		g := groupOf(e)
+		if _, known := allowed[g]; !known {
+			allowed[g] = d.p.expendableIn(g, d.prior.Suspicion)
+		}
+		if slices.Contains(allowed[g], e) {
+			list = append(list, e)
+		}
+	}
+	d.numWithheld = len(endpoints) - len(list)
+	return list
+}
+
+// isExpendable reports whether a request with the given suspicion may still run on an endpoint.
+func (p *Planner) isExpendable(suspicion relay.Suspicion, e *directory.Endpoint) bool {
+	if suspicion.Crashes == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, allowed := range p.expendableIn(groupOf(e), suspicion) {
+		if allowed.ID == e.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// withheld returns the refusal of a suspect that may run on none of the endpoints that are up.
+func (d *decision) withheld() *failure.Request {
+	retryAfter := suspectRetryAfter + time.Duration(d.p.random.Int64N(int64(suspectRetryAfter)))
+	klog.InfoS("placement: refused, suspected of crashing endpoints and too few are up", "request", d.req.ID, "service", d.req.Service, "try", d.prior.Number,
+		"crashes", d.prior.Suspicion.Crashes, "withheld", d.numWithheld, "retryAfterMS", retryAfter.Milliseconds())
+	return &failure.Request{
+		Code: failure.CrashSuspected, Ran: failure.NotRun, RetryAfter: retryAfter,
+		Message: "endpoints crashed while this request was at work there, and too few are up to run it again",
+	}
+}
--- /dev/null
+++ b/placement/expendable_test.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/relay"
+)
+
+// markDown records the crash of an endpoint.
+func (f *fixture) markDown(id string) { f.planner.MarkDown(f.dir.Snapshot().Endpoint(id)) }
+
+// suspect returns the state of a request that is suspected of a number of crashes.
+func suspect(crashes int, key uint32) relay.AttemptState {
+	return relay.AttemptState{Suspicion: relay.Suspicion{Crashes: crashes, Key: key}}
+}
+
+// choices returns the endpoints of the plain service on which a suspect is placed, by repeated
+// decisions, and the last refusal.
+func (f *fixture) choices(state relay.AttemptState) (ids []string, refused *failure.Request) {
+	for range 50 {
+		plan, failed := f.planner.Plan(f.plainReq(), state)
+		if failed != nil {
+			refused = failed
+			continue
+		}
+		if !slices.Contains(ids, plan.Serve.ID) {
+			ids = append(ids, plan.Serve.ID)
+		}
+	}
+	return ids, refused
+}
+
+// A suspect runs only on as many endpoints as the other callers can do without: while it is
+// suspected of n crashes, n others stay up, or all but one if the group is smaller.
+func TestSuspectRunsOnExpendableEndpoints(t *testing.T) {
+	for _, tc := range []struct {
+		endpoints, down, crashes int
+		want                     int
+	}{
+		{endpoints: 10, down: 0, crashes: 0, want: 10},
+		{endpoints: 10, down: 1, crashes: 1, want: 8},
+		{endpoints: 10, down: 2, crashes: 2, want: 6},
+		{endpoints: 3, down: 1, crashes: 1, want: 1},
+		{endpoints: 3, down: 2, crashes: 1, want: 0},
+		{endpoints: 3, down: 2, crashes: 2, want: 0},
+		{endpoints: 3, down: 0, crashes: 2, want: 1},
+		{endpoints: 2, down: 1, crashes: 1, want: 0},
+		{endpoints: 2, down: 0, crashes: 2, want: 1},
+		{endpoints: 1, down: 0, crashes: 1, want: 1},
+	} {
+		t.Run(fmt.Sprintf("%d of %d down, %d crashes", tc.down, tc.endpoints, tc.crashes), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				for i := range tc.endpoints {
+					f.addPlain(fmt.Sprint("p", i), "a")
+				}
+				time.Sleep(time.Minute)
+				for i := range tc.down {
+					f.markDown(fmt.Sprint("p", i))
+				}
+				ids, refused := f.choices(suspect(tc.crashes, 7))
+				if len(ids) != tc.want {
+					t.Errorf("placed on %v, want %d endpoints", ids, tc.want)
+				}
+				if tc.want > 0 {
+					return
+				}
+				if refused.Code != failure.CrashSuspected || refused.Ran != failure.NotRun || refused.RetryAfter < suspectRetryAfter {
+					t.Errorf("refused with %+v", refused)
+				}
+				if _, refused := f.choices(relay.AttemptState{}); refused != nil {
+					t.Errorf("another request is refused: %v", refused)
+				}
+			})
+		})
+	}
+}
+
+// VMs that know the same endpoints choose the same ones for copies of a request, whatever their
+// load, and others for another request.
+func TestCopiesOfSuspectShareEndpoints(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, f *fixture) {
+		other := newFixture(t)
+		for i := range 12 {
+			f.addPlain(fmt.Sprint("p", i), "a")
+			other.addPlain(fmt.Sprint("p", i), "a")
+		}
+		all := map[string]bool{}
+		for key := range uint32(20) {
+			state := suspect(11, key)
+			here, _ := f.choices(state)
+			there, _ := other.choices(state)
+			if len(here) != 1 || !slices.Equal(here, there) {
+				t.Errorf("request %d is placed on %v and %v", key, here, there)
+			}
+			all[here[0]] = true
+		}
+		if len(all) < 4 {
+			t.Errorf("20 requests share %d endpoints", len(all))
+		}
+	})
+}
+
+// The last engine of a role is kept from a suspect that crashed the other, while the other role
+// stays open to it.
+func TestSuspectSparesLastEngineOfRole(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, f *fixture) {
+		for _, id := range []string{"p1", "p2"} {
+			f.addEngine(id, "a", engine.Prefill)
+		}
+		for _, id := range []string{"d1", "d2", "d3"} {
+			f.addEngine(id, "a", engine.Decode)
+		}
+		f.markDown("p1")
+		if _, failed := f.planner.Plan(f.longReq("x"), suspect(1, 7)); failed == nil || failed.Code != failure.CrashSuspected {
+			t.Errorf("a long prompt got %v, want %s", failed, failure.CrashSuspected)
+		}
+		if plan := f.plan(f.shortReq(), suspect(1, 7)); plan.Prefill != nil {
+			t.Errorf("a short prompt is prefilled by %s", plan.Prefill.ID)
+		}
+		if plan := f.plan(f.longReq("x"), relay.AttemptState{}); plan.Prefill == nil || plan.Prefill.ID != "p2" {
+			t.Errorf("another long prompt is placed on %+v", plan)
+		}
+	})
+}
+
+// The reference size of a group is the one before a crash, also when the row of the crashed endpoint
+// is deleted, and follows a group that stays smaller.
+func TestGroupSizeReference(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.addPlain("p1", "a")
+		f.addPlain("p2", "a")
+		time.Sleep(time.Hour)
+		f.markDown("p1")
+		f.dir.Remove("p1")
+		time.Sleep(groupPeakTTL / 2)
+		if ids, _ := f.choices(suspect(1, 7)); len(ids) != 0 {
+			t.Errorf("placed on %v, the last of two", ids)
+		}
+		time.Sleep(groupPeakTTL)
+		if ids, _ := f.choices(suspect(1, 7)); len(ids) != 1 {
+			t.Errorf("placed on %v, want the only endpoint of a service", ids)
+		}
+	})
+}
+
+// An endpoint that was found down is avoided until it is back under another incarnation, has served
+// a request, or downTTL has passed, and tried as a last resort.
+func TestDownEndpointIsAvoided(t *testing.T) {
+	restart := func(f *fixture) {
+		f.dir.Put(directory.Registration{ID: "p1", StartedAt: 2, Service: "plain", Zone: "a", Slots: 4})
+	}
+	for _, tc := range []struct {
+		name   string
+		change func(f *fixture)
+		want   []string
+	}{
+		{"nothing", func(*fixture) {}, []string{"p2"}},
+		{"a restart", restart, []string{"p1", "p2"}},
+		{"time", func(*fixture) { time.Sleep(downTTL) }, []string{"p1", "p2"}},
+		{"the other is down too", func(f *fixture) { f.markDown("p2") }, []string{"p1", "p2"}},
+		{"the other is gone and a request is served", func(f *fixture) {
+			f.dir.Remove("p2")
+			f.complete(f.plan(f.plainReq(), relay.AttemptState{}))
+			f.addPlain("p2", "a")
+		}, []string{"p1", "p2"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.addPlain("p1", "a")
+				f.addPlain("p2", "a")
+				f.markDown("p1")
+				tc.change(f)
+				ids, refused := f.choices(relay.AttemptState{})
+				slices.Sort(ids)
+				if !slices.Equal(ids, tc.want) || refused != nil {
+					t.Errorf("placed on %v (refused: %v), want %v", ids, refused, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// A suspect that waits between its plan and its send is planned anew if another endpoint of the
+// group has crashed meanwhile.
+func TestRecheckSparesLastEndpoint(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, f *fixture) {
+		for _, id := range []string{"p1", "p2", "p3"} {
+			f.addPlain(id, "a")
+		}
+		p := f.plan(f.plainReq(), suspect(1, 7))
+		if cause := p.Watch.Recheck(p.Serve); cause != "" {
+			t.Errorf("after placement: %q", cause)
+		}
+		for _, id := range []string{"p1", "p2", "p3"} {
+			if id != p.Serve.ID {
+				f.markDown(id)
+			}
+		}
+		if cause := p.Watch.Recheck(p.Serve); cause != relay.EndpointNotExpendable {
+			t.Errorf("after two crashes: %q, want %q", cause, relay.EndpointNotExpendable)
+		}
+	})
+}
--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -40,6 +40,9 @@
 	local     work
 	// cache is nil for endpoints that are not engines.
 	cache *cacheModel
+	// downAt is when the endpoint was found to accept no more connections; zero if it was not, or if
+	// it has served a request since.
+	downAt time.Time
 	// pausedUntil is the end of the pause after a refusal, and refusals counts consecutive ones.
 	pausedUntil time.Time
 	refusals    int
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -43,6 +43,8 @@
 	models map[modelKey]*prefillModel
 	zones  *zoneMonitor
 	uplink uplink
+	// groups holds the sizes of the groups of endpoints that can replace one another.
+	groups groupSizes
 }
 
 // Config configures a Planner.
@@ -77,7 +79,7 @@
 		signals: c.Signals,
 		zone:    c.Zone, directory: c.Directory, config: c.Routes, roleChanges: c.RoleChanges,
 		now: c.Now, random: c.Random, tuning: c.Tuning, start: c.Now(),
-		health: health.NewTracker(c.Tuning.Health), loads: newLoadTracker(), models: map[modelKey]*prefillModel{}, zones: newZoneMonitor(),
+		health: health.NewTracker(c.Tuning.Health), loads: newLoadTracker(), models: map[modelKey]*prefillModel{}, zones: newZoneMonitor(), groups: groupSizes{},
 		uplink: uplink{bitsPerSecond: c.Tuning.LinkBitsPerSecond},
 	}
 }
@@ -100,6 +102,7 @@
 		}
 	}
 	p.loads.retain(current)
+	p.recordGroups(current)
 }
 
 // SetTuning replaces the parameters of decisions.
@@ -197,25 +200,32 @@
 }
 
 // usable returns the endpoints of the service that may be sent a request now. It omits endpoints
-// that are excluded, ejected, changing their role or blocked by their own signals. Endpoints that
-// refuse other VMs are returned only if there are no others.
+// that are excluded, ejected, changing their role, blocked by their own signals or not expendable
+// for a suspect. Endpoints that refuse other VMs are returned only if there are no others, and those
+// that are down only as a last resort.
 func (d *decision) usable(excluded []string) []*directory.Endpoint {
 	p := d.p
-	var candidates, refusing []*directory.Endpoint
+	var candidates, refusing, down []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(d.req.Service) {
 		if slices.Contains(excluded, e.ID) || !p.health.Status(e.ID).Usable(d.now.Sub(p.start)) || p.loads.changesRole(d.now, p.loads.get(e)) || d.isBlocked(e) {
 			continue
 		}
+		if p.loads.get(e).down(d.now) {
+			down = append(down, e)
+			continue
+		}
 		if p.loads.refusesPeers(p.loads.get(e)) {
 			refusing = append(refusing, e)
 			continue
 		}
 		candidates = append(candidates, e)
 	}
-	if len(candidates) == 0 {
-		return refusing
+	for _, list := range [][]*directory.Endpoint{candidates, refusing} {
+		if len(list) > 0 {
+			return d.expendable(list)
+		}
 	}
-	return candidates
+	return down
 }
 
 func noEndpoint(message string, retryAfter time.Duration) *failure.Request {
@@ -238,6 +248,8 @@
 	rateLimited    []*directory.Endpoint
 	numBlocked     int
 	unblockedAfter time.Duration
+	// numWithheld is the number of endpoints that are not expendable for this request.
+	numWithheld int
 	// permitLost is set when the permit for an endpoint could no longer be acquired.
 	permitLost bool
 }
@@ -276,7 +288,7 @@
 	}
 	klog.InfoS("placement: placed", "request", d.req.ID, "try", d.prior.Number, "endpoint", best.ID, "version", best.Version.String(), "zone", best.Zone,
 		"costMS", lowest.Milliseconds(), "running", reserved.load.local.running, "choices", len(d.endpoints), "tried", d.prior.Tried)
-	return relay.Plan{Serve: best, Watch: &attemptWatch{p: d.p, serve: reserved}}, nil
+	return relay.Plan{Serve: best, Watch: &attemptWatch{p: d.p, serve: reserved, suspicion: d.prior.Suspicion}}, nil
 }
 
 // requestHeadBytes is the usual size of a request's head, which is sent with its body.
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -50,6 +50,8 @@
 	// predicted then.
 	placedAt  time.Time
 	predicted time.Duration
+	// suspicion is the evidence that the request crashes endpoints, as of the plan.
+	suspicion relay.Suspicion
 }
 
 // Recheck implements relay.Watch.
@@ -63,6 +65,8 @@
 		return relay.EndpointChangingRole
 	case !w.p.health.StillValid(w.p.now().Sub(w.p.start), r.ticket):
 		return relay.EndpointEjected
+	case !w.p.isExpendable(w.suspicion, e):
+		return relay.EndpointNotExpendable
 	}
 	return planCause(r.permit.Recheck().Reason)
 }
@@ -142,7 +146,7 @@
 	switch {
 	case abandoned:
 	case failed == nil:
-		r.load.refusals = 0
+		r.load.refusals, r.load.downAt = 0, time.Time{}
 	case failed.Ran == failure.NotRun:
 		r.load.recordRefusal(p.now(), failed.Code)
 	}
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -67,12 +68,24 @@
 
 // Check implements relay.Guard. It hashes the request only if the ledger holds a suspect or a
 // quarantine entry.
-func (g *Guard) Check(r *relay.Request) *failure.Request {
+func (g *Guard) Check(r *relay.Request) (relay.Suspicion, *failure.Request) {
 	if g.ledger.Empty() {
-		return nil
+		return relay.Suspicion{}, nil
 	}
-	key := KeyOf(r)
-	switch g.ledger.Status(key, OriginOf(r)) {
+	key, origin := KeyOf(r), OriginOf(r)
+	if failed := g.refusal(r, key, origin); failed != nil {
+		return relay.Suspicion{}, failed
+	}
+	crashes := g.ledger.Suspicion(key, origin)
+	if crashes == 0 {
+		return relay.Suspicion{}, nil
+	}
+	return relay.Suspicion{Crashes: crashes, Key: binary.BigEndian.Uint32(key[:])}, nil
+}
+
+// refusal returns the failure of a request that is quarantined or awaits an evaluation, or nil.
+func (g *Guard) refusal(r *relay.Request, key Key, origin Origin) *failure.Request {
+	switch g.ledger.Status(key, origin) {
 	case Quarantined:
 		klog.InfoS("poison: request refused, its earlier runs crashed endpoints", "request", r.ID, "key", key.String())
 		return &failure.Request{
@@ -117,7 +130,8 @@
 			message = &sharepb.Crash{Id: c.ID}
 		}
 	}
-	if len(message.Suspects) > 0 {
+	// A report without suspects still tells the other VMs that the endpoint is down.
+	if len(message.Suspects) > 0 || len(c.Suspects) == 0 {
 		g.cfg.Broadcast(loadshare.Announcement{Crashes: []*sharepb.Crash{message}})
 	}
 	g.evaluateAfter(g.ledger.RecordCrash(c), true)
--- a/poison/impact_test.go
+++ b/poison/impact_test.go
@@ -49,7 +49,7 @@
 func (w *workload) send(q *relay.Request, work time.Duration, guarded bool) (answered, rejected bool) {
 	v := w.pickVM()
 	for range 2 {
-		if failed := v.Check(q); failed != nil && guarded {
+		if _, failed := v.Check(q); failed != nil && guarded {
 			return false, true
 		}
 		e := w.pickEndpoint()
--- a/poison/key.go
+++ b/poison/key.go
@@ -36,12 +36,17 @@
 // KeyOf returns the key of a request.
 func KeyOf(r *relay.Request) Key {
 	h := sha256.New()
+	writeRequest(h, r)
+	return Key(h.Sum(nil)[:keySize])
+}
+
+// writeRequest hashes what identifies a request.
+func writeRequest(h hash.Hash, r *relay.Request) {
 	for _, field := range []string{r.Method, r.Host, r.Target} {
 		writeField(h, []byte(field))
 	}
 	writeField(h, r.Credential.Key[:])
 	writeField(h, r.Body)
-	return Key(h.Sum(nil)[:keySize])
 }
 
 // Origin is the hash of the address that a request came from. Zero stands for all addresses.
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -55,6 +55,8 @@
 	crashes  map[uint64]*crash
 	suspects map[Subject]*suspect
 	entries  map[Subject]*activeEntry
+	// lastSpontaneous is when a crash was last found to have been caused by none of its suspects.
+	lastSpontaneous time.Time
 	// lastPrune is the time of the last pruning.
 	lastPrune time.Time
 }
@@ -224,6 +226,9 @@
 		for id := range record.crashes {
 			if c := l.crashes[id]; c != nil {
 				delete(c.suspects, s)
+				if len(c.suspects) == 0 && !c.attributed {
+					l.lastSpontaneous = l.now()
+				}
 			}
 		}
 		delete(l.suspects, s)
--- a/poison/region_test.go
+++ b/poison/region_test.go
@@ -198,7 +198,7 @@
 
 // quarantines reports whether a VM refuses a request as quarantined.
 func quarantines(v *testVM, request *relay.Request) bool {
-	failed := v.Check(request)
+	_, failed := v.Check(request)
 	return failed != nil && failed.Code == failure.CrashesEndpoints
 }
 
@@ -285,7 +285,7 @@
 					if !quarantines(v, again) {
 						t.Errorf("%s does not refuse the request", name)
 					}
-					if failed := v.Check(request("1.2.3.4", "id", "another body")); failed != nil {
+					if _, failed := v.Check(request("1.2.3.4", "id", "another body")); failed != nil {
 						t.Errorf("%s refuses a request of the same caller with another body: %v", name, failed)
 					}
 				}
--- a/poison/runs.go
+++ b/poison/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -73,6 +74,7 @@
 
 	mu            sync.Mutex
 	byIncarnation map[string]*endpointState
+	completed     *completedRequests
 }
 
 // endpointState is the state of one incarnation of an endpoint.
@@ -99,7 +101,7 @@
 	if cfg.OnDown == nil {
 		cfg.OnDown = func(*directory.Endpoint) {}
 	}
-	return &RunTracker{cfg: cfg, byIncarnation: map[string]*endpointState{}}
+	return &RunTracker{cfg: cfg, byIncarnation: map[string]*endpointState{}, completed: newCompletedRequests(rand.Uint64())}
 }
 
 // CrashID returns the ID for the crash of an incarnation of an endpoint. It is the same on all VMs.
@@ -108,10 +110,14 @@
 // RecordEnd records the end of a run. If the run was interrupted, it returns once the endpoint has
 // been probed, or after probeWait.
 func (r *RunTracker) RecordEnd(request *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
-	if end.Outcome == relay.RunCompleted || end.Outcome == relay.RunRefused {
+	now := r.cfg.Now()
+	switch end.Outcome {
+	case relay.RunRefused:
+		return
+	case relay.RunCompleted:
+		r.recordCompleted(request, now)
 		return
 	}
-	now := r.cfg.Now()
 	run := endedRun{request: request, streaming: end.Streaming, at: now}
 	r.mu.Lock()
 	s := r.state(e, now)
@@ -133,6 +139,21 @@
 	}
 }
 
+func (r *RunTracker) recordCompleted(request *relay.Request, now time.Time) {
+	fingerprint := r.completed.fingerprint(request)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.completed.add(fingerprint, now)
+}
+
+// exonerated reports whether this VM has recently seen a complete response to the same request.
+func (r *RunTracker) exonerated(request *relay.Request) bool {
+	fingerprint := r.completed.fingerprint(request)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.completed.contains(fingerprint, r.cfg.Now())
+}
+
 // awaitProbe waits until a probe ends, for at most probeWait.
 func awaitProbe(probeDone <-chan struct{}) {
 	timer := time.NewTimer(probeWait)
@@ -169,7 +190,8 @@
 	}
 }
 
-// markDown marks an endpoint as down and reports the runs that were on it.
+// markDown marks an endpoint as down and reports the runs that were on it. OnDown is called first,
+// so that no request is sent there because of the report.
 func (r *RunTracker) markDown(e *directory.Endpoint) {
 	now := r.cfg.Now()
 	r.mu.Lock()
@@ -184,11 +206,14 @@
 	}
 }
 
-// report reports a crash with its suspects. Keys are computed only here: hashing each request's
+// report reports a crash with its suspects; there may be none. Keys are computed only here: hashing each request's
 // body would burden all requests for the sake of a few.
 func (r *RunTracker) report(e *directory.Endpoint, runs []endedRun) {
 	crash := Crash{ID: CrashID(e)}
 	for _, run := range runs {
+		if r.exonerated(run.request) {
+			continue
+		}
 		crash.Suspects = append(crash.Suspects, Suspect{Key: KeyOf(run.request), Origin: OriginOf(run.request), Request: run.request.ID, Streaming: run.streaming})
 	}
 	crashesReported.Inc()
--- /dev/null
+++ b/poison/suspicion_test.go
@@ -0,0 +1,139 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/relay"
+)
+
+// suspicionOf returns the crashes that a named request is suspected of, from its own origin.
+func (l *testLedger) suspicionOf(name string) int {
+	return l.Suspicion(key(name), Origin(name[0]))
+}
+
+// A request is suspected of the crashes at which it was at work, but not of those that another
+// request explains better, and not of a single one while endpoints crash by themselves.
+func TestSuspicion(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes []string
+		// cleared requests receive a complete response after the crashes.
+		cleared string
+		wait    time.Duration
+		want    map[string]int
+	}{
+		{name: "all that ran at one crash", crashes: []string{"ab"}, want: map[string]int{"a": 1, "b": 1, "c": 0}},
+		{name: "requests that had emitted events", crashes: []string{"aB"}, want: map[string]int{"a": 1, "b": 0}},
+		{name: "two crashes", crashes: []string{"a", "a"}, want: map[string]int{"a": 2}},
+		{name: "a crash explained by another request", crashes: []string{"a", "ab"}, want: map[string]int{"a": 2, "b": 0}},
+		{name: "two that were always together", crashes: []string{"ab", "ab"}, want: map[string]int{"a": 2, "b": 2}},
+		{name: "a cleared request", crashes: []string{"ab"}, cleared: "a", want: map[string]int{"a": 0, "b": 1}},
+		{name: "after a crash that none had caused", crashes: []string{"a", "b"}, cleared: "a", want: map[string]int{"b": 0}},
+		{name: "twice after such a crash", crashes: []string{"a", "b", "b"}, cleared: "a", want: map[string]int{"b": 2}},
+		{name: "long after such a crash", crashes: []string{"a", "b"}, cleared: "a", wait: spontaneousRetention + time.Second, want: map[string]int{"b": 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newTestLedger()
+			for i, names := range tc.crashes {
+				l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
+			}
+			for _, c := range tc.cleared {
+				l.Clear(key(string(c)), Origin(c))
+			}
+			l.advance(tc.wait)
+			for name, want := range tc.want {
+				if got := l.suspicionOf(name); got != want {
+					t.Errorf("%s is suspected of %d crashes, want %d", name, got, want)
+				}
+			}
+		})
+	}
+}
+
+// A request from another origin is suspected only if nothing else of the original origin was at
+// work: otherwise a caller could hold back another's request by sending a copy beside a harmful one.
+func TestSuspicionOfOtherOrigins(t *testing.T) {
+	victim, harmful := key("victim"), key("harmful")
+	l := newTestLedger()
+	l.RecordCrash(Crash{ID: 1, Suspects: []Suspect{{Key: victim, Origin: 7}, {Key: harmful, Origin: 7}}})
+	if got := l.Suspicion(victim, 8); got != 0 {
+		t.Errorf("suspected of %d crashes from another origin", got)
+	}
+	if got := l.Suspicion(victim, 7); got != 1 {
+		t.Errorf("suspected of %d crashes from the origin of the copy", got)
+	}
+}
+
+// Requests that had a complete response shortly before a crash are not suspects, so that one which
+// many callers send is not held back for them all. A crash without suspects is reported all the same.
+func TestCompletedRequestIsNoSuspect(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		want int
+	}{
+		{"shortly before", time.Second, 0},
+		{"long before", completedRetention + time.Second, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			var crashes []Crash
+			r := NewRunTracker(RunTrackerConfig{
+				Now: func() time.Time { return now }, OnCrash: func(c Crash) { crashes = append(crashes, c) },
+				Down: func(context.Context, *directory.Endpoint) bool { return true },
+			})
+			e := endpoint("e")
+			r.RecordEnd(request("caller", "first", "body"), e, relay.RunEnd{Outcome: relay.RunCompleted})
+			now = now.Add(tc.age)
+			r.RecordEnd(request("caller", "second", "body"), e, relay.RunEnd{Outcome: relay.RunAbandoned})
+			r.RecordRemoteCrash(e)
+			if len(crashes) != 1 || len(crashes[0].Suspects) != tc.want {
+				t.Errorf("reported %+v, want one crash with %d suspects", crashes, tc.want)
+			}
+		})
+	}
+}
+
+// The memory of completed requests is bounded and drops the oldest first.
+func TestCompletedRequestsAreBounded(t *testing.T) {
+	c, now := newCompletedRequests(1), time.Unix(1000, 0)
+	first, second := c.fingerprint(request("c", "1", "first")), c.fingerprint(request("c", "2", "second"))
+	c.add(first, now)
+	c.add(second, now)
+	c.add(first, now)
+	for i := range maxCompleted - 1 {
+		c.add(c.fingerprint(request("c", "3", fmt.Sprint("other ", i))), now)
+	}
+	if len(c.at) != maxCompleted || len(c.order) != maxCompleted {
+		t.Errorf("%d fingerprints in a list of %d", len(c.at), len(c.order))
+	}
+	if c.contains(first, now) || !c.contains(second, now) {
+		t.Error("another fingerprint than the oldest was dropped")
+	}
+}
+
+// The cost of a complete response: the fingerprint of a request of 30 KB, and its record.
+func BenchmarkRecordCompleted(b *testing.B) {
+	r := NewRunTracker(RunTrackerConfig{})
+	q := request("caller", "id", string(make([]byte, 30<<10)))
+	b.ReportAllocs()
+	for b.Loop() {
+		r.recordCompleted(q, time.Unix(1000, 0))
+	}
+}
+
+// The cost of a check while a suspect of a crash with 24 requests is known.
+func BenchmarkSuspicion(b *testing.B) {
+	l := newTestLedger()
+	for id := range uint64(2) {
+		l.RecordCrash(Crash{ID: id, Suspects: suspectsNamed("abcdefghijklmnopqrstuvwx")})
+	}
+	k := key("a")
+	for b.Loop() {
+		l.Suspicion(k, 'a')
+	}
+}
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -14,13 +14,23 @@
 // Guard observes how requests affect the endpoints that run them, and refuses requests that crash
 // endpoints.
 type Guard interface {
-	// Check returns the failure of a request that must not run, or nil. It is called before each
-	// attempt is planned and again before it is sent.
-	Check(r *Request) *failure.Request
+	// Check returns the failure of a request that must not run, or nil, and otherwise whether the
+	// request is suspected of crashing endpoints. It is called before each attempt is planned and
+	// again before it is sent.
+	Check(r *Request) (Suspicion, *failure.Request)
 	// Ended is called after each attempt that was sent, except for successful prefills.
 	Ended(r *Request, e *directory.Endpoint, end RunEnd)
 }
 
+// Suspicion is the evidence that a request crashes endpoints. The zero value means that there is
+// none.
+type Suspicion struct {
+	// Crashes is the number of endpoints that the request is suspected of having crashed.
+	Crashes int
+	// Key identifies the request across its repetitions. It is zero if Crashes is.
+	Key uint32
+}
+
 // RunOutcome is how an attempt ended from the point of view of its endpoint.
 type RunOutcome int
 
@@ -47,7 +57,7 @@
 type noGuard struct{}
 
 // Check implements Guard.
-func (noGuard) Check(*Request) *failure.Request { return nil }
+func (noGuard) Check(*Request) (Suspicion, *failure.Request) { return Suspicion{}, nil }
 
 // Ended implements Guard.
 func (noGuard) Ended(*Request, *directory.Endpoint, RunEnd) {}
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -36,6 +36,9 @@
 	EndpointRateLimited PlanChange = "endpoint-rate-limited"
 	// EndpointBackingOff means that the endpoint requested a backoff from this VM.
 	EndpointBackingOff PlanChange = "endpoint-backs-off"
+	// EndpointNotExpendable means that the request is suspected of crashing endpoints, and that the
+	// other callers could not do without this one.
+	EndpointNotExpendable PlanChange = "endpoint-not-expendable"
 	// CacheLost means that the engine that holds the KV cache has restarted since the prefill.
 	CacheLost PlanChange = "cache-lost"
 	// RouteChanged means that the current configuration routes the request differently.
@@ -113,7 +116,8 @@
 	if refused := j.relay.cfg.Router.Admit(j.req); refused != nil {
 		return change{cause: CallerNotAdmitted, final: refused}
 	}
-	if refused := j.relay.cfg.Guard.Check(j.req); refused != nil {
+	suspicion, refused := j.relay.cfg.Guard.Check(j.req)
+	if refused != nil {
 		return change{cause: RequestRefused, final: refused}
 	}
 	if stopping := j.shutdownFailure(plan); stopping != nil {
@@ -127,6 +131,9 @@
 	if cause := endpointChange(e, current); cause != "" {
 		return change{cause: cause, current: current}
 	}
+	if suspicion.Crashes > j.suspicion.Crashes {
+		return change{cause: EndpointNotExpendable, current: current}
+	}
 	if cause := plan.Watch.Recheck(e); cause != "" {
 		return change{cause: cause, current: current}
 	}
--- a/relay/recheck_test.go
+++ b/relay/recheck_test.go
@@ -154,14 +154,15 @@
 	if s.admitAlways {
 		return nil
 	}
-	return s.Check(r)
+	_, failed := s.Check(r)
+	return failed
 }
 
-func (s *scheduledRouter) Check(*Request) *failure.Request {
+func (s *scheduledRouter) Check(*Request) (Suspicion, *failure.Request) {
 	if clock.Now().Before(s.at) {
-		return nil
+		return Suspicion{}, nil
 	}
-	return s.failed
+	return Suspicion{}, s.failed
 }
 
 func (s *scheduledRouter) Ended(*Request, *directory.Endpoint, RunEnd) {}
@@ -182,7 +183,7 @@
 
 func (l *lazyRouter) Route(r *Request) (*Request, *failure.Request)       { return l.get().Route(r) }
 func (l *lazyRouter) Admit(r *Request) *failure.Request                   { return l.get().Admit(r) }
-func (l *lazyRouter) Check(r *Request) *failure.Request                   { return l.get().Check(r) }
+func (l *lazyRouter) Check(r *Request) (Suspicion, *failure.Request)      { return l.get().Check(r) }
 func (l *lazyRouter) Ended(r *Request, e *directory.Endpoint, end RunEnd) {}
 
 // A condition that ends a delayed request ends it before anything more is sent, and the failure
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,6 +69,8 @@
 	// before anything was sent.
 	plannedAt time.Time
 	replans   int
+	// suspicion is the evidence that the request crashes endpoints, as of the current plan.
+	suspicion Suspicion
 	// withdrawn is why the current attempt was not sent as planned, or nil.
 	withdrawn *failure.Request
 	// counted is set once the meter has counted the request. pendingSend reports to the meter
@@ -110,9 +112,11 @@
 	if failed := j.reroute(); failed != nil {
 		return Plan{}, failed
 	}
-	if failed := j.relay.cfg.Guard.Check(j.req); failed != nil {
+	suspicion, failed := j.relay.cfg.Guard.Check(j.req)
+	if failed != nil {
 		return Plan{}, failed
 	}
+	j.suspicion = suspicion
 	j.withdrawn, j.plannedAt = nil, clock.Now()
 	plan, failed := j.relay.cfg.Planner.Plan(j.req, j.attemptState())
 	if failed != nil {
@@ -130,7 +134,7 @@
 	}
 	state := AttemptState{
 		Number: len(j.tried) + j.replans, Tried: j.tried, Handle: j.handle,
-		Colocated: j.prefilled && j.handle == nil,
+		Colocated: j.prefilled && j.handle == nil, Suspicion: j.suspicion,
 	}
 	if j.resumeHandle != nil {
 		state.Resume = j.resumeHandle.Endpoint
--- a/relay/request.go
+++ b/relay/request.go
@@ -183,6 +183,8 @@
 	Handle *KVHandle
 	// Colocated requires one engine that both prefills and decodes.
 	Colocated bool
+	// Suspicion is the evidence that the request crashes endpoints.
+	Suspicion Suspicion
 	// Resume, if set, is the engine that holds a copy of the run and on which the run must resume.
 	Resume *directory.Endpoint
 }
