Prefill long prompts on engines that decode while none that prefills is up

Cause: the bound on prefill at an engine that decodes protects its streams from long prompts that an engine that prefills should take, but it was also applied when there is none.

Change: while no engine that prefills is up, one that decodes takes a longer prompt if it has no other prefill open. It reads between the tokens of others, at half the pace and in small pieces, so one at a time slows its streams little and for tens of milliseconds; more at a time is not allowed. Engines that prefill and are limited, backing off or withheld from a suspect still count as up.

Also: Plan appended to the slice of role changes that it was given.

--- a/placement/direct.go
+++ b/placement/direct.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/springweir/springweir/engine"
@@ -8,11 +9,12 @@
 
 // bestDirect returns the best engine of a random sample to both prefill and decode.
 func (d *decision) bestDirect(chunks []chunk, tokens int) option {
+	prefillersUp := d.prefillersUp()
 	var best option
 	for _, e := range d.sample(d.enginesWithRole(engine.Decode)) {
 		o := d.predictPrefill(e, chunks, tokens)
 		inFlight := d.p.loads.inFlight(d.p.loads.get(e))
-		if !d.prior.Colocated && inFlight.prefill.tokens+o.uncached > d.p.tuning.DirectTokens {
+		if !d.mayPrefillDirectly(inFlight.prefill.tokens, o.uncached, prefillersUp) {
 			continue
 		}
 		wait := d.decodeWait(e, inFlight, tokens)
@@ -23,3 +25,27 @@
 	}
 	return best
 }
+
+// mayPrefillDirectly reports whether an engine that decodes may prefill a prompt, given the tokens
+// that are still to be prefilled there and those of the prompt. While no engine that prefills is up,
+// it prefills one longer prompt at a time: refusing these prompts would leave it idle, and several
+// would delay its streams for too long.
+func (d *decision) mayPrefillDirectly(open, uncached int, prefillersUp bool) bool {
+	if d.prior.Colocated || open+uncached <= d.p.tuning.DirectTokens {
+		return true
+	}
+	return open == 0 && !prefillersUp
+}
+
+// prefillersUp reports whether an engine of the service that prefills is up, whether or not it
+// accepts this request now.
+func (d *decision) prefillersUp() bool {
+	p := d.p
+	for _, e := range p.directory.Snapshot().Service(d.req.Service) {
+		load := p.loads.get(e)
+		if e.Role == engine.Prefill && p.isUp(e) && !p.loads.changesRole(d.now, load) && !slices.Contains(d.changing, e.ID) {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/springweir/springweir/engine"
+	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/relay"
@@ -63,3 +64,45 @@
 		}
 	})
 }
+
+// Guards against refusing long prompts while every engine that prefills is gone and engines that
+// decode are free. Each of these prefills one long prompt at a time; more are refused at once.
+func TestLongPromptsWithoutPrefillEngines(t *testing.T) {
+	gone := map[string]func(f *fixture){
+		"none was there":    func(*fixture) {},
+		"down":              func(f *fixture) { f.addEngine("p", "a", engine.Prefill); f.markDown("p") },
+		"changing its role": func(f *fixture) { f.addEngine("p", "a", engine.Prefill); f.roleChanges = []string{"p"} },
+		"ejected": func(f *fixture) {
+			f.addEngine("p", "a", engine.Prefill)
+			f.addEngine("q", "a", engine.Prefill)
+			for range f.planner.tuning.Health.ConsecutiveFailures {
+				f.planner.newAttempt(f.t, f.dir.Snapshot().Endpoint("p")).Finished(brokenAttempt(), false)
+			}
+			f.markDown("q")
+		},
+	}
+	for name, change := range gone {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.addEngine("d1", "a", engine.Decode)
+				f.addEngine("d2", "a", engine.Decode)
+				change(f)
+				var open []relay.Plan
+				for range 2 {
+					open = append(open, f.plan(f.longReq("s"), relay.AttemptState{}))
+				}
+				if open[0].Serve == open[1].Serve {
+					t.Errorf("both prompts were placed on %s", open[0].Serve.ID)
+				}
+				_, failed := f.planner.Plan(f.longReq("s"), relay.AttemptState{})
+				if failed == nil || failed.Code != failure.NoEndpoint {
+					t.Errorf("a third prompt got %v, want %s", failed, failure.NoEndpoint)
+				}
+				open[0].Watch.FirstEvent()
+				if next := f.plan(f.longReq("s"), relay.AttemptState{}); next.Serve != open[0].Serve {
+					t.Errorf("the next prompt was placed on %s, which is still prefilling another", next.Serve.ID)
+				}
+			})
+		})
+	}
+}
--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -101,6 +101,12 @@
 	}
 }
 
+// isUp reports whether an endpoint is neither down nor ejected. The caller holds mu.
+func (p *Planner) isUp(e *directory.Endpoint) bool {
+	now := p.now()
+	return !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start))
+}
+
 // expendableIn returns the endpoints of a group on which a suspect may run. If it crashes them all,
 // as many others stay up as it is suspected of having crashed, but at most all but one of the
 // group's usual number. All VMs choose the same ones, as far as they know the same endpoints to be
@@ -109,7 +115,7 @@
 	now := p.now()
 	var up []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(g.service) {
-		if groupOf(e) == g && !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start)) {
+		if groupOf(e) == g && p.isUp(e) {
 			up = append(up, e)
 		}
 	}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -175,8 +175,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for attempt := 1; ; attempt++ {
-		d := &decision{p: p, req: r, prior: prior, now: p.now(), service: service}
-		plan, failed := d.plan(append(changing, prior.Tried...))
+		d := &decision{p: p, req: r, prior: prior, now: p.now(), service: service, changing: changing}
+		plan, failed := d.plan(slices.Concat(changing, prior.Tried))
 		if failed == nil || !d.permitLost || attempt == maxPlanAttempts {
 			return plan, failed
 		}
@@ -240,6 +240,8 @@
 	now       time.Time
 	service   *routes.Service
 	endpoints []*directory.Endpoint
+	// changing holds the IDs of the engines whose role change this VM has ordered.
+	changing []string
 	// holders is computed on first use.
 	holders *holders
 	// rateLimited are the endpoints with a rate limit of which this VM may use a part. numBlocked
