Let the holders of a rate limit take turns

Cause: all holders of a limit begin at the same moment (limit learned, membership changed, load back after a pause with every bucket full), and nothing moves them apart afterwards. A span that ends in the pause misses a round of all holders.

Ruled out: shares lost because VMs take each other for unavailable, and permits not used (no round is missing in the arrivals).

Change: after a pause, the first request of each holder is due later by its rank's part of a period.

Two calls in designs_test.go get the new parameter, zero; its checks are the same.

--- a/signals/bucket.go
+++ b/signals/bucket.go
@@ -19,18 +19,21 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// empty drains the bucket: the first request may be sent after one period.
-func (b *bucket) empty(now time.Time, period time.Duration) { b.due = now.Add(burst * period) }
+// empty drains the bucket: the first request may be sent after one period and the offset.
+func (b *bucket) empty(now time.Time, period, offset time.Duration) {
+	b.due = now.Add(burst*period + offset)
+}
 
 // wait returns how long until a request may be sent.
 func (b *bucket) wait(now time.Time, period time.Duration) time.Duration {
 	return max(0, b.due.Sub(now)-(burst-1)*period)
 }
 
-// take accounts for a request that is sent at now.
-func (b *bucket) take(now time.Time, period time.Duration) {
+// take accounts for a request that is sent at now. After a pause that has filled the bucket, the next
+// ones are due later by the offset.
+func (b *bucket) take(now time.Time, period, offset time.Duration) {
 	if b.due.Before(now) {
-		b.due = now
+		b.due = now.Add(offset)
 	}
 	b.due = b.due.Add(period)
 }
--- a/signals/designs_test.go
+++ b/signals/designs_test.go
@@ -56,7 +56,7 @@
 	for i, v := range f.vms {
 		rates[i] = d.rate(f, v, e, v.perSecond, v.perSecond*float64(len(f.vms)))
 		if rates[i] > 0 {
-			buckets[i].empty(f.now, interval(rates[i]))
+			buckets[i].empty(f.now, interval(rates[i]), 0)
 		}
 	}
 	const step = 5 * time.Millisecond
@@ -80,7 +80,7 @@
 			if rates[i] <= 0 || buckets[i].wait(f.now, interval(rates[i])) > 0 {
 				continue
 			}
-			buckets[i].take(f.now, interval(rates[i]))
+			buckets[i].take(f.now, interval(rates[i]), 0)
 			e.arrivals = append(e.arrivals, f.now)
 		}
 	}
--- a/signals/limit.go
+++ b/signals/limit.go
@@ -110,7 +110,7 @@
 	acquired := l.share.perSecond == 0 && s.perSecond > 0
 	l.share = s
 	if acquired {
-		l.bucket.empty(s.usableFrom, interval(s.perSecond))
+		l.bucket.empty(s.usableFrom, interval(s.perSecond), s.offset)
 	}
 }
 
--- a/signals/permit.go
+++ b/signals/permit.go
@@ -57,7 +57,7 @@
 	s.limit.lastAcquiredAt = now
 	if s.limit.share.perSecond > 0 {
 		p.period = interval(s.limit.share.perSecond)
-		s.limit.bucket.take(now, p.period)
+		s.limit.bucket.take(now, p.period, s.limit.share.offset)
 	}
 	return Block{}
 }
--- a/signals/share.go
+++ b/signals/share.go
@@ -38,6 +38,9 @@
 	rank int
 	// perSecond is the rate that this VM may send; zero if it holds no share.
 	perSecond float64
+	// offset delays the first request after a pause, so that the holders, which often resume
+	// together, send one after the other.
+	offset time.Duration
 	// usableFrom is when the share may first be used.
 	usableFrom time.Time
 }
@@ -60,6 +63,7 @@
 	holders := min(math.Ceil(perSecond/maxSharePerSecond), float64(len(m.Live)))
 	if float64(s.rank) < holders {
 		s.perSecond = perSecond / holders
+		s.offset = time.Duration(float64(s.rank) / holders * float64(interval(s.perSecond)))
 	}
 	return s
 }
