e2e: rename settings files into place

TestOperators once failed with vm2.ini:0: the key is not set: the file is written at the start of the entry and again at that of the controller, and the entry read it while it was truncated. The cause was traced before; with a rename a reader sees the old text or the new.

--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -228,8 +228,12 @@
 		"[controller]", "peers = " + v.host + ":7200", "operators = " + v.operators(), "metrics = " + v.host + ":7201",
 	}
 	text := strings.Join(lines, "\n") + "\n"
+	// Renamed into place, since another process of the VM may be reading the file.
 	file := filepath.Join(s.dir, v.name+".ini")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.Rename(file+".new", file); err != nil {
 		s.t.Fatal(err)
 	}
 	return file
