Try further endpoints when connections are refused

What callers saw: after most endpoints of a service had lost power, the first requests at each VM were refused with endpoint-unreachable although others were up.

Cause: a refused connection says for certain that the endpoint is down, but counted like a time-out: as one of the four endpoints that a request may try, and as the first of three failures before the VM leaves the endpoint alone. Dead endpoints look idle and are chosen first.

Change: a refused connection marks the endpoint as down, as a reported crash does, and does not count as one of the four; 32 are allowed. If all endpoints of a service are down, each VM tries each at most five times a second (placement.TestDownEndpointsAreRetriedRarely), and refuses the rest at once.

--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -16,6 +16,8 @@
 	// downTTL is how long an endpoint that was found down is avoided. By then its row has expired,
 	// or it is back under the same incarnation.
 	downTTL = 5 * time.Second
+	// downRetryInterval is how often a VM tries a down endpoint if no other is left.
+	downRetryInterval = 200 * time.Millisecond
 	// groupPeakTTL is how long the previous size of a group that has shrunk is its reference: longer
 	// than it takes to replace a crashed endpoint.
 	groupPeakTTL = 10 * time.Second
@@ -33,8 +35,16 @@
 func (p *Planner) MarkDown(e *directory.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads.get(e).downAt = p.now()
-	p.recordGroups(p.directory.Snapshot())
+	p.markDown(p.loads.get(e))
+}
+
+// markDown records that an endpoint accepts no more connections. The caller holds mu.
+func (p *Planner) markDown(load *endpointLoad) {
+	wasDown := load.down(p.now())
+	load.downAt = p.now()
+	if !wasDown {
+		p.recordGroups(p.directory.Snapshot())
+	}
 }
 
 // group identifies the endpoints that can replace one another: those of a service that either only
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -210,8 +210,10 @@
 		if slices.Contains(excluded, e.ID) || !p.health.Status(e.ID).Usable(d.now.Sub(p.start)) || p.loads.changesRole(d.now, p.loads.get(e)) || d.isBlocked(e) {
 			continue
 		}
-		if p.loads.get(e).down(d.now) {
-			down = append(down, e)
+		if load := p.loads.get(e); load.down(d.now) {
+			if d.now.Sub(load.downAt) >= downRetryInterval {
+				down = append(down, e)
+			}
 			continue
 		}
 		if p.loads.refusesPeers(p.loads.get(e)) {
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -147,6 +147,8 @@
 	case abandoned:
 	case failed == nil:
 		r.load.refusals, r.load.downAt = 0, time.Time{}
+	case relay.IsConnectionRefused(failed):
+		p.markDown(r.load)
 	case failed.Ran == failure.NotRun:
 		r.load.recordRefusal(p.now(), failed.Code)
 	}
--- a/relay/config.go
+++ b/relay/config.go
@@ -26,8 +26,8 @@
 	ShutdownAt func() time.Time
 	// MaxResponseBytes bounds a response that is not a stream, in bytes (default 16 MiB).
 	MaxResponseBytes int64
-	// MaxEndpoints bounds the endpoints tried for one request, including unreachable ones
-	// (default 4).
+	// MaxEndpoints bounds the endpoints tried for one request, except for those that refuse the
+	// connection (default 4).
 	MaxEndpoints int
 	// StallFraction sets how long an attempt of a repeatable request may produce nothing before
 	// the request is retried elsewhere, as a fraction of the route's objective (default 0.75).
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/failure"
@@ -21,7 +22,7 @@
 	switch {
 	case ctx.Err() != nil, failed.Code == failure.CallerGone:
 		return failed
-	case len(j.tried) >= j.relay.cfg.MaxEndpoints:
+	case j.triedEnough():
 		return failed
 	case j.resumeFromBackup(ctx, failed):
 		return nil
@@ -93,6 +94,20 @@
 	}
 }
 
+// maxRefusedConnections bounds the endpoints tried for one request that refuse connections. Each
+// costs a round trip, and after the loss of a rack most endpoints that look idle are down.
+const maxRefusedConnections = 32
+
+// triedEnough reports whether the request has tried as many endpoints as it may.
+func (j *job) triedEnough() bool {
+	return len(j.tried)-j.refused >= j.relay.cfg.MaxEndpoints || j.refused >= maxRefusedConnections
+}
+
+// IsConnectionRefused reports whether an attempt failed because its endpoint accepts no connections.
+func IsConnectionRefused(failed *failure.Request) bool {
+	return isUnreachable(failed) && errors.Is(failed.Cause, unix.ECONNREFUSED)
+}
+
 // isUnreachable reports whether an attempt failed before any of it reached its endpoint.
 func isUnreachable(failed *failure.Request) bool {
 	return failed != nil && failed.Ran == failure.NotRun && failed.Code == failure.EndpointUnreachable
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -36,7 +36,7 @@
 	if failed != nil {
 		j.reportEnd(ctx, plan.Prefill, failed)
 		j.countAttempt(failed)
-		j.tried = append(j.tried, plan.Prefill.ID)
+		j.recordTried(plan.Prefill, failed)
 		return prefillFailure(failed)
 	}
 	j.handle, j.prefilled = handle, true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,8 +58,10 @@
 	lastEventID int
 	lastEventAt time.Time
 	ran         failure.Outcome
-	// tried holds the IDs of the endpoints on which attempts failed.
+	// tried holds the IDs of the endpoints on which attempts failed, and refused is the number of
+	// those that refused the connection.
 	tried       []string
+	refused     int
 	lastFailure *failure.Request
 	// handle names a KV cache of the prompt that no engine has imported yet.
 	handle *KVHandle
@@ -186,7 +188,7 @@
 		j.countAttempt(failed)
 	}
 	if failed != nil {
-		j.tried = append(j.tried, plan.Serve.ID)
+		j.recordTried(plan.Serve, failed)
 	}
 	if failed == nil || failed.Ran != failure.NotRun {
 		j.handle = nil // an import that may have started consumes the handle
@@ -194,6 +196,14 @@
 	return failed
 }
 
+// recordTried records an endpoint on which an attempt failed.
+func (j *job) recordTried(e *directory.Endpoint, failed *failure.Request) {
+	j.tried = append(j.tried, e.ID)
+	if IsConnectionRefused(failed) {
+		j.refused++
+	}
+}
+
 // send sends the attempt to the plan's serving engine and forwards the response.
 func (j *job) send(ctx context.Context, a *Attempt, plan Plan) *failure.Request {
 	j.result.Endpoint = plan.Serve.ID
