Log what became of a role order and of a stale VM's row

rolechange logged "ordered" also when the engine had certainly not accepted the order, and roster "removed a stale VM" also when the commit had failed; both were known only by their err. They have messages of their own now.

--- a/rolechange/order.go
+++ b/rolechange/order.go
@@ -76,11 +76,13 @@
 	err = duties.Call(ctx, l, callTimeout, func(ctx context.Context, fence uint64) error {
 		return c.cfg.Engines.ChangeRole(ctx, e, Order{Role: to, Holder: c.cfg.VM, Fence: fence, OrdersAccepted: state.OrdersAccepted})
 	})
-	klog.InfoS("rolechange: ordered", "endpoint", e.ID, "zone", e.Zone, "from", state.Role, "to", to,
-		"fence", l.Fence(), "taken", state.OrdersAccepted, "err", err)
 	if certainlyNotAccepted(err) {
+		klog.InfoS("rolechange: order not accepted", "endpoint", e.ID, "zone", e.Zone, "to", to, "fence", l.Fence(), "err", err)
 		c.removeChange(e.ID)
+		return
 	}
+	klog.InfoS("rolechange: ordered", "endpoint", e.ID, "zone", e.Zone, "from", state.Role, "to", to,
+		"fence", l.Fence(), "taken", state.OrdersAccepted, "err", err)
 }
 
 // certainlyNotAccepted reports whether the engine cannot have accepted an order, because it refused
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -204,7 +204,11 @@
 	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := r.rows.Commit(ctx, table.Txn{Checks: []table.Check{row}, Writes: []table.Write{{Key: row.Key, Delete: true}}})
-	klog.InfoS("roster: removed a stale VM", "vm", row.Key.Row, "version", row.Version.String(), "err", err)
+	if err != nil {
+		klog.InfoS("roster: row of a stale VM not removed", "vm", row.Key.Row, "version", row.Version.String(), "err", err)
+		return
+	}
+	klog.InfoS("roster: removed a stale VM", "vm", row.Key.Row, "version", row.Version.String())
 }
 
 // Add records a VM that announced itself in a datagram.
