--- a/placement/planner.go
+++ b/placement/planner.go
@@ -207,27 +207,25 @@
 	p := d.p
 	var candidates, refusing, down []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(d.req.Service) {
-		if slices.Contains(excluded, e.ID) || !p.health.Status(e.ID).Usable(d.now.Sub(p.start)) || p.loads.changesRole(d.now, p.loads.get(e)) || d.isBlocked(e) {
-			continue
-		}
-		if load := p.loads.get(e); load.down(d.now) {
+		load := p.loads.get(e)
+		switch {
+		case slices.Contains(excluded, e.ID), !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, load), d.isBlocked(e):
+		case load.down(d.now):
 			if d.now.Sub(load.downAt) >= downRetryInterval {
 				down = append(down, e)
 			}
-			continue
-		}
-		if p.loads.refusesPeers(p.loads.get(e)) {
+		case p.loads.refusesPeers(load):
 			refusing = append(refusing, e)
-			continue
+		default:
+			candidates = append(candidates, e)
 		}
-		candidates = append(candidates, e)
 	}
-	for _, list := range [][]*directory.Endpoint{candidates, refusing} {
+	for _, list := range [][]*directory.Endpoint{candidates, refusing, down} {
 		if len(list) > 0 {
 			return d.expendable(list)
 		}
 	}
-	return down
+	return nil
 }
 
 func noEndpoint(message string, retryAfter time.Duration) *failure.Request {
