Hold back repeats of a request that has crashed one of a few endpoints

What callers saw: a request that runs for a tenth of a second before it crashes its endpoint, sent ten times a second by way of several VMs, still took all three endpoints of a service: copies were running on the others when the first crashed, and the next repeat was placed on what was left.

Change: the first attempt of a repeat needs one endpoint more in reserve than the retry of a request that was at work at the crash. Innocent requests are retried as before; theirs is no repeat.

Evidence: platform.TestSlowlyCrashingRequestSparesSmallGroup.

Also: a VM that is refused a connection reads the row of the replacement without delay too.

--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -119,11 +119,8 @@
 // without delay, since a small group may have no other endpoint left.
 const replacementTime = 5 * time.Second
 
-// handleEndpointDown handles an endpoint that this VM or another one has found down.
-func (g *Gateway) handleEndpointDown(e *directory.Endpoint) {
-	g.planner.MarkDown(e)
-	g.endpoints.Expedite(replacementTime)
-}
+// expediteReplacement is called when an endpoint was found down.
+func (g *Gateway) expediteReplacement() { g.endpoints.Expedite(replacementTime) }
 
 func logEndpoint(r directory.Registration) {
 	klog.InfoS("gateway: endpoint registered", "endpoint", r.ID, "born", r.StartedAt, "service", r.Service, "address", r.Address,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,7 +159,7 @@
 	g.directory = directory.New(g.setEndpoints)
 	g.planner = placement.New(placement.Config{
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
-		RoleChanges: func() []string { return g.roles.Changing() }, Signals: g.signals, Tuning: s.Placement,
+		RoleChanges: func() []string { return g.roles.Changing() }, Signals: g.signals, Tuning: s.Placement, OnDown: g.expediteReplacement,
 	})
 	wallClock := clock.NewWallClock().Now
 	g.budgets = newRetryBudgets(s.Retry)
@@ -179,7 +179,7 @@
 		Self: lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
 	}, g.listDuties(wallClock)...)
 	g.guard = poison.NewGuard(poison.Config{
-		Down: p.Down, OnDown: g.handleEndpointDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
+		Down: p.Down, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
 	})
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard,
--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -42,9 +42,11 @@
 func (p *Planner) markDown(load *endpointLoad) {
 	wasDown := load.down(p.now())
 	load.downAt = p.now()
-	if !wasDown {
-		p.recordGroups(p.directory.Snapshot())
+	if wasDown {
+		return
 	}
+	p.recordGroups(p.directory.Snapshot())
+	p.onDown()
 }
 
 // group identifies the endpoints that can replace one another: those of a service that either only
@@ -117,11 +119,31 @@
 	return !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start))
 }
 
-// expendableIn returns the endpoints of a group on which a suspect may run. If it crashes them all,
-// as many others stay up as it is suspected of having crashed, but at most all but one of the
-// group's usual number. All VMs choose the same ones, as far as they know the same endpoints to be
-// up, so that copies of the request on different VMs crash no more. The caller holds mu.
-func (p *Planner) expendableIn(g group, suspicion relay.Suspicion) []*directory.Endpoint {
+// suspect is a request that may crash endpoints.
+type suspect struct {
+	// key identifies the request on all VMs.
+	key uint32
+	// reserve is the number of endpoints of a group that must stay up if it crashes all others; zero
+	// if the request is not suspected.
+	reserve int
+}
+
+// suspectOf returns the suspect that an attempt is. As many endpoints stay up as it is suspected of
+// having crashed, and one more for the first attempt of a request: it repeats another one, of which
+// more copies may be running.
+func suspectOf(prior relay.AttemptState) suspect {
+	s := suspect{key: prior.Suspicion.Key, reserve: prior.Suspicion.Crashes}
+	if s.reserve > 0 && len(prior.Tried) == 0 {
+		s.reserve++
+	}
+	return s
+}
+
+// expendableIn returns the endpoints of a group on which a suspect may run. At most all but one of
+// the group's usual number are reserved for others. All VMs choose the same ones, as far as they know
+// the same endpoints to be up, so that copies of the request on different VMs crash no more. The
+// caller holds mu.
+func (p *Planner) expendableIn(g group, s suspect) []*directory.Endpoint {
 	now := p.now()
 	var up []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(g.service) {
@@ -130,17 +152,17 @@
 		}
 	}
 	usual := len(up)
-	if s := p.groups[g]; s != nil {
-		usual = max(usual, s.reference(now))
+	if size := p.groups[g]; size != nil {
+		usual = max(usual, size.reference(now))
 	}
-	reserved := min(suspicion.Crashes, usual-1)
-	return rendezvousTop(suspicion.Key, up, max(0, len(up)-reserved))
+	reserved := min(s.reserve, usual-1)
+	return rendezvousTop(s.key, up, max(0, len(up)-reserved))
 }
 
 // expendable returns the endpoints on which the request may run: all of them unless it is suspected
 // of crashing endpoints.
 func (d *decision) expendable(endpoints []*directory.Endpoint) []*directory.Endpoint {
-	if d.prior.Suspicion.Crashes == 0 {
+	if d.suspect.reserve == 0 {
 		return endpoints
 	}
 	allowed := map[group][]*directory.Endpoint{}
@@ -148,7 +170,7 @@
 	for _, e := range endpoints {
 		g := groupOf(e)
 		if _, known := allowed[g]; !known {
-			allowed[g] = d.p.expendableIn(g, d.prior.Suspicion)
+			allowed[g] = d.p.expendableIn(g, d.suspect)
 		}
 		if slices.Contains(allowed[g], e) {
 			list = append(list, e)
@@ -158,14 +180,14 @@
 	return list
 }
 
-// isExpendable reports whether a request with the given suspicion may still run on an endpoint.
-func (p *Planner) isExpendable(suspicion relay.Suspicion, e *directory.Endpoint) bool {
-	if suspicion.Crashes == 0 {
+// isExpendable reports whether a suspect may still run on an endpoint.
+func (p *Planner) isExpendable(s suspect, e *directory.Endpoint) bool {
+	if s.reserve == 0 {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, allowed := range p.expendableIn(groupOf(e), suspicion) {
+	for _, allowed := range p.expendableIn(groupOf(e), s) {
 		if allowed.ID == e.ID {
 			return true
 		}
--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -17,13 +17,19 @@
 // markDown records the crash of an endpoint.
 func (f *fixture) markDown(id string) { f.planner.MarkDown(f.dir.Snapshot().Endpoint(id)) }
 
-// suspect returns the state of a request that is suspected of a number of crashes.
-func suspect(crashes int, key uint32) relay.AttemptState {
+// retryOf returns the state of a request that ran on a crashed endpoint and is suspected of a number
+// of crashes.
+func retryOf(crashes int, key uint32) relay.AttemptState {
+	return relay.AttemptState{Number: 1, Tried: []string{"crashed"}, Suspicion: relay.Suspicion{Crashes: crashes, Key: key}}
+}
+
+// repeatOf returns the state of the first attempt of a request that repeats such a request.
+func repeatOf(crashes int, key uint32) relay.AttemptState {
 	return relay.AttemptState{Suspicion: relay.Suspicion{Crashes: crashes, Key: key}}
 }
 
-// choices returns the endpoints of the plain service on which a suspect is placed, by repeated
-// decisions, and the last refusal.
+// choices returns the endpoints of the plain service on which a request is placed, by repeated
+// decisions, and the last refusal. The requests stay open, so that each takes the load of an endpoint.
 func (f *fixture) choices(state relay.AttemptState) (ids []string, refused *failure.Request) {
 	for range 50 {
 		plan, failed := f.planner.Plan(f.plainReq(), state)
@@ -39,12 +45,21 @@
 }
 
 // A suspect runs only on as many endpoints as the other callers can do without: while it is
-// suspected of n crashes, n others stay up, or all but one if the group is smaller.
+// suspected of n crashes, n others stay up, or all but one if the group is smaller. For a repeat, of
+// which more copies may be running, it is one more.
 func TestSuspectRunsOnExpendableEndpoints(t *testing.T) {
 	for _, tc := range []struct {
 		endpoints, down, crashes int
+		repeat                   bool
 		want                     int
 	}{
+		{endpoints: 10, down: 1, crashes: 1, repeat: true, want: 7},
+		{endpoints: 3, down: 1, crashes: 1, repeat: true, want: 0},
+		{endpoints: 3, down: 0, crashes: 1, repeat: true, want: 1},
+		{endpoints: 3, down: 0, crashes: 2, repeat: true, want: 1},
+		{endpoints: 2, down: 0, crashes: 2, repeat: true, want: 1},
+		{endpoints: 1, down: 0, crashes: 1, repeat: true, want: 1},
+		{endpoints: 10, down: 1, crashes: 0, repeat: true, want: 9},
 		{endpoints: 10, down: 0, crashes: 0, want: 10},
 		{endpoints: 10, down: 1, crashes: 1, want: 8},
 		{endpoints: 10, down: 2, crashes: 2, want: 6},
@@ -56,7 +71,7 @@
 		{endpoints: 2, down: 0, crashes: 2, want: 1},
 		{endpoints: 1, down: 0, crashes: 1, want: 1},
 	} {
-		t.Run(fmt.Sprintf("%d of %d down, %d crashes", tc.down, tc.endpoints, tc.crashes), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d of %d down, %d crashes, repeat=%t", tc.down, tc.endpoints, tc.crashes, tc.repeat), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T, f *fixture) {
 				for i := range tc.endpoints {
 					f.addPlain(fmt.Sprint("p", i), "a")
@@ -65,7 +80,11 @@
 				for i := range tc.down {
 					f.markDown(fmt.Sprint("p", i))
 				}
-				ids, refused := f.choices(suspect(tc.crashes, 7))
+				state := retryOf(tc.crashes, 7)
+				if tc.repeat {
+					state = repeatOf(tc.crashes, 7)
+				}
+				ids, refused := f.choices(state)
 				if len(ids) != tc.want {
 					t.Errorf("placed on %v, want %d endpoints", ids, tc.want)
 				}
@@ -94,7 +113,7 @@
 		}
 		all := map[string]bool{}
 		for key := range uint32(20) {
-			state := suspect(11, key)
+			state := retryOf(11, key)
 			here, _ := f.choices(state)
 			there, _ := other.choices(state)
 			if len(here) != 1 || !slices.Equal(here, there) {
@@ -119,10 +138,10 @@
 			f.addEngine(id, "a", engine.Decode)
 		}
 		f.markDown("p1")
-		if _, failed := f.planner.Plan(f.longReq("x"), suspect(1, 7)); failed == nil || failed.Code != failure.CrashSuspected {
+		if _, failed := f.planner.Plan(f.longReq("x"), retryOf(1, 7)); failed == nil || failed.Code != failure.CrashSuspected {
 			t.Errorf("a long prompt got %v, want %s", failed, failure.CrashSuspected)
 		}
-		if plan := f.plan(f.shortReq(), suspect(1, 7)); plan.Prefill != nil {
+		if plan := f.plan(f.shortReq(), retryOf(1, 7)); plan.Prefill != nil {
 			t.Errorf("a short prompt is prefilled by %s", plan.Prefill.ID)
 		}
 		if plan := f.plan(f.longReq("x"), relay.AttemptState{}); plan.Prefill == nil || plan.Prefill.ID != "p2" {
@@ -141,11 +160,11 @@
 		f.markDown("p1")
 		f.dir.Remove("p1")
 		time.Sleep(groupPeakTTL / 2)
-		if ids, _ := f.choices(suspect(1, 7)); len(ids) != 0 {
+		if ids, _ := f.choices(retryOf(1, 7)); len(ids) != 0 {
 			t.Errorf("placed on %v, the last of two", ids)
 		}
 		time.Sleep(groupPeakTTL)
-		if ids, _ := f.choices(suspect(1, 7)); len(ids) != 1 {
+		if ids, _ := f.choices(retryOf(1, 7)); len(ids) != 1 {
 			t.Errorf("placed on %v, want the only endpoint of a service", ids)
 		}
 	})
@@ -222,7 +241,7 @@
 		for _, id := range []string{"p1", "p2", "p3"} {
 			f.addPlain(id, "a")
 		}
-		p := f.plan(f.plainReq(), suspect(1, 7))
+		p := f.plan(f.plainReq(), retryOf(1, 7))
 		if cause := p.Watch.Recheck(p.Serve); cause != "" {
 			t.Errorf("after placement: %q", cause)
 		}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -36,6 +36,7 @@
 	start       time.Time
 	health      *health.Tracker
 	signals     *signals.Tracker
+	onDown      func()
 
 	mu     sync.Mutex
 	tuning Tuning
@@ -59,7 +60,10 @@
 	// Signals holds the state that endpoints signal: rate limits, backoffs and drains. Nil means
 	// none.
 	Signals *signals.Tracker
-	Tuning  Tuning
+	// OnDown is called when an endpoint was found down, by this VM or another one. It must not call
+	// back into the Planner. Nil does nothing.
+	OnDown func()
+	Tuning Tuning
 	// Now and Random supply the time and the random numbers of decisions, so that a load can be
 	// replayed. Nil means the system clock and a random seed.
 	Now    func() time.Time
@@ -75,9 +79,12 @@
 	if c.Signals == nil {
 		c.Signals = signals.New(signals.Config{Now: c.Now})
 	}
+	if c.OnDown == nil {
+		c.OnDown = func() {}
+	}
 	return &Planner{
-		signals: c.Signals,
-		zone:    c.Zone, directory: c.Directory, config: c.Routes, roleChanges: c.RoleChanges,
+		signals: c.Signals, onDown: c.OnDown,
+		zone: c.Zone, directory: c.Directory, config: c.Routes, roleChanges: c.RoleChanges,
 		now: c.Now, random: c.Random, tuning: c.Tuning, start: c.Now(),
 		health: health.NewTracker(c.Tuning.Health), loads: newLoadTracker(), models: map[modelKey]*prefillModel{}, zones: newZoneMonitor(), groups: groupSizes{},
 		uplink: uplink{bitsPerSecond: c.Tuning.LinkBitsPerSecond},
@@ -175,7 +182,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for attempt := 1; ; attempt++ {
-		d := &decision{p: p, req: r, prior: prior, now: p.now(), service: service, changing: changing}
+		d := &decision{p: p, req: r, prior: prior, now: p.now(), service: service, changing: changing, suspect: suspectOf(prior)}
 		plan, failed := d.plan(slices.Concat(changing, prior.Tried))
 		if failed == nil || !d.permitLost || attempt == maxPlanAttempts {
 			return plan, failed
@@ -237,6 +244,7 @@
 	p         *Planner
 	req       *relay.Request
 	prior     relay.AttemptState
+	suspect   suspect
 	now       time.Time
 	service   *routes.Service
 	endpoints []*directory.Endpoint
@@ -290,7 +298,7 @@
 	}
 	klog.InfoS("placement: placed", "request", d.req.ID, "try", d.prior.Number, "endpoint", best.ID, "version", best.Version.String(), "zone", best.Zone,
 		"costMS", lowest.Milliseconds(), "running", reserved.load.local.running, "choices", len(d.endpoints), "tried", d.prior.Tried)
-	return relay.Plan{Serve: best, Watch: &attemptWatch{p: d.p, serve: reserved, suspicion: d.prior.Suspicion}}, nil
+	return relay.Plan{Serve: best, Watch: &attemptWatch{p: d.p, serve: reserved, suspect: d.suspect}}, nil
 }
 
 // requestHeadBytes is the usual size of a request's head, which is sent with its body.
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -50,8 +50,8 @@
 	// predicted then.
 	placedAt  time.Time
 	predicted time.Duration
-	// suspicion is the evidence that the request crashes endpoints, as of the plan.
-	suspicion relay.Suspicion
+	// suspect is what the request is suspected of, as of the plan.
+	suspect suspect
 }
 
 // Recheck implements relay.Watch.
@@ -65,7 +65,7 @@
 		return relay.EndpointChangingRole
 	case !w.p.health.StillValid(w.p.now().Sub(w.p.start), r.ticket):
 		return relay.EndpointEjected
-	case !w.p.isExpendable(w.suspicion, e):
+	case !w.p.isExpendable(w.suspect, e):
 		return relay.EndpointNotExpendable
 	}
 	return planCause(r.permit.Recheck().Reason)
