placement: a late response does not bring a crashed endpoint back

A response of a run that was sent before its endpoint was found down, and was still on the way, cleared the mark, so that a suspect could be placed on the last endpoint of a group. Only a run that was sent later clears it now; the new case of TestDownEndpointIsAvoided fails without. While a service stays down, each refused connection keeps the reading of replacements expedited.

--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -31,6 +31,14 @@
 	return !e.downAt.IsZero() && now.Sub(e.downAt) < downTTL
 }
 
+// recordServed records that the endpoint has served a request. One that was sent before the endpoint
+// was found down says nothing: its response may have been on the way.
+func (e *endpointLoad) recordServed(sentAt time.Time) {
+	if sentAt.After(e.downAt) {
+		e.downAt = time.Time{}
+	}
+}
+
 // MarkDown records that an endpoint accepts no more connections.
 func (p *Planner) MarkDown(e *directory.Endpoint) {
 	p.mu.Lock()
@@ -42,10 +50,9 @@
 func (p *Planner) markDown(load *endpointLoad) {
 	wasDown := load.down(p.now())
 	load.downAt = p.now()
-	if wasDown {
-		return
+	if !wasDown {
+		p.recordGroups(p.directory.Snapshot())
 	}
-	p.recordGroups(p.directory.Snapshot())
 	p.onDown()
 }
 
--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -179,24 +179,33 @@
 	for _, tc := range []struct {
 		name   string
 		change func(f *fixture)
-		want   []string
+		// servedLate completes a request that was sent to p1 before it was found down.
+		servedLate bool
+		want       []string
 	}{
-		{"nothing", func(*fixture) {}, []string{"p2"}},
-		{"a restart", restart, []string{"p1", "p2"}},
-		{"time", func(*fixture) { time.Sleep(downTTL) }, []string{"p1", "p2"}},
-		{"the other is down too", func(f *fixture) { f.markDown("p2"); time.Sleep(downRetryInterval) }, []string{"p1", "p2"}},
-		{"the other is gone and a request is served", func(f *fixture) {
+		{name: "nothing", change: func(*fixture) {}, want: []string{"p2"}},
+		{name: "a restart", change: restart, want: []string{"p1", "p2"}},
+		{name: "time", change: func(*fixture) { time.Sleep(downTTL) }, want: []string{"p1", "p2"}},
+		{name: "the other is down too", change: func(f *fixture) { f.markDown("p2"); time.Sleep(downRetryInterval) }, want: []string{"p1", "p2"}},
+		{name: "the other is gone and a request is served", change: func(f *fixture) {
 			f.dir.Remove("p2")
 			time.Sleep(downRetryInterval)
 			f.complete(f.plan(f.plainReq(), relay.AttemptState{}))
 			f.addPlain("p2", "a")
-		}, []string{"p1", "p2"}},
+		}, want: []string{"p1", "p2"}},
+		{name: "a request sent before is served", change: func(*fixture) {}, servedLate: true, want: []string{"p2"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T, f *fixture) {
 				f.addPlain("p1", "a")
+				sent := f.plan(f.plainReq(), relay.AttemptState{})
 				f.addPlain("p2", "a")
+				time.Sleep(time.Millisecond)
 				f.markDown("p1")
+				if tc.servedLate {
+					time.Sleep(time.Millisecond)
+					f.complete(sent)
+				}
 				tc.change(f)
 				ids, refused := f.choices(relay.AttemptState{})
 				slices.Sort(ids)
--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -41,7 +41,7 @@
 	// cache is nil for endpoints that are not engines.
 	cache *cacheModel
 	// downAt is when the endpoint was found to accept no more connections; zero if it was not, or if
-	// it has served a request since.
+	// it has served a request that was sent since.
 	downAt time.Time
 	// pausedUntil is the end of the pause after a refusal, and refusals counts consecutive ones.
 	pausedUntil time.Time
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -146,7 +146,8 @@
 	switch {
 	case abandoned:
 	case failed == nil:
-		r.load.refusals, r.load.downAt = 0, time.Time{}
+		r.load.refusals = 0
+		r.load.recordServed(r.sentAt)
 	case relay.IsConnectionRefused(failed):
 		p.markDown(r.load)
 	case failed.Ran == failure.NotRun:
