placement: an engine that changes its role stands in for no other

Change: one predicate, isUp, covers down, ejected and changing engines, for suspects and for prefillersUp. A change is identified by incarnation and the role that it ends; the author reads the rows before its list of pending changes, so it never reports a change as ending the new role.

Ruled out: ignoring reports for some time after the row. A zone cut off from the store reports a change for up to 15 s.

Four tests build such reports by hand; they build the new identifier now, and check what they checked.

--- a/placement/direct.go
+++ b/placement/direct.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
 )
 
@@ -40,12 +41,7 @@
 // prefillersUp reports whether an engine of the service that prefills is up, whether or not it
 // accepts this request now.
 func (d *decision) prefillersUp() bool {
-	p := d.p
-	for _, e := range p.directory.Snapshot().Service(d.req.Service) {
-		load := p.loads.get(e)
-		if e.Role == engine.Prefill && p.isUp(e) && !p.loads.changesRole(d.now, load) && !slices.Contains(d.changing, e.ID) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.p.directory.Snapshot().Service(d.req.Service), func(e *directory.Endpoint) bool {
+		return e.Role == engine.Prefill && d.p.isUp(e, d.changing)
+	})
 }
--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -120,10 +120,12 @@
 	}
 }
 
-// isUp reports whether an endpoint is neither down nor ejected. The caller holds mu.
-func (p *Planner) isUp(e *directory.Endpoint) bool {
+// isUp reports whether an endpoint is neither down nor ejected nor changing its role. changing holds
+// the IDs of the engines whose role change this VM has ordered. The caller holds mu.
+func (p *Planner) isUp(e *directory.Endpoint, changing []string) bool {
 	now := p.now()
-	return !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start))
+	return !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start)) &&
+		!p.loads.changesRole(now, e) && !slices.Contains(changing, e.ID)
 }
 
 // suspect is a request that may crash endpoints.
@@ -148,13 +150,13 @@
 
 // expendableIn returns the endpoints of a group on which a suspect may run. At most all but one of
 // the group's usual number are reserved for others. All VMs choose the same ones, as far as they know
-// the same endpoints to be up, so that copies of the request on different VMs crash no more. The
-// caller holds mu.
-func (p *Planner) expendableIn(g group, s suspect) []*directory.Endpoint {
+// the same endpoints to be up, so that copies of the request on different VMs crash no more.
+// changing is as for isUp. The caller holds mu.
+func (p *Planner) expendableIn(g group, s suspect, changing []string) []*directory.Endpoint {
 	now := p.now()
 	var up []*directory.Endpoint
 	for _, e := range p.directory.Snapshot().Service(g.service) {
-		if groupOf(e) == g && p.isUp(e) {
+		if groupOf(e) == g && p.isUp(e, changing) {
 			up = append(up, e)
 		}
 	}
@@ -177,7 +179,7 @@
 	for _, e := range endpoints {
 		g := groupOf(e)
 		if _, known := allowed[g]; !known {
-			allowed[g] = d.p.expendableIn(g, d.suspect)
+			allowed[g] = d.p.expendableIn(g, d.suspect, d.changing)
 		}
 		if slices.Contains(allowed[g], e) {
 			list = append(list, e)
@@ -192,14 +194,12 @@
 	if s.reserve == 0 {
 		return true
 	}
+	changing := p.roleChanges() // takes a lock of its own, so it is not called under mu
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, allowed := range p.expendableIn(groupOf(e), s) {
-		if allowed.ID == e.ID {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.expendableIn(groupOf(e), s, changing), func(allowed *directory.Endpoint) bool {
+		return allowed.ID == e.ID
+	})
 }
 
 // withheld returns the refusal of a suspect that may run on none of the endpoints that are up.
--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -102,6 +102,36 @@
 	}
 }
 
+// Guards against a suspect that crashes the last engine that serves, because another one counts as up
+// while it changes its role.
+func TestChangingEnginesDoNotReplaceOthers(t *testing.T) {
+	changes := map[string]func(f *fixture){
+		"ordered by this VM":    func(f *fixture) { f.roleChanges = []string{"d2"} },
+		"ordered by another VM": func(f *fixture) { f.reportChange("d2", engine.Decode) },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.addEngine("d1", "a", engine.Decode)
+				f.addEngine("d2", "a", engine.Decode)
+				planned := f.plan(f.shortReq(), retryOf(1, 7))
+				change(f)
+				if plan, failed := f.planner.Plan(f.shortReq(), retryOf(1, 7)); failed == nil {
+					t.Errorf("the suspect is placed on %s", plan.Serve.ID)
+				} else if failed.Code != failure.CrashSuspected {
+					t.Errorf("refused with %v", failed)
+				}
+				if planned.Watch.Recheck(planned.Serve) == "" {
+					t.Errorf("the suspect is sent to %s as planned", planned.Serve.ID)
+				}
+				if plan := f.plan(f.shortReq(), relay.AttemptState{}); plan.Serve.ID != "d1" {
+					t.Errorf("another request is placed on %s", plan.Serve.ID)
+				}
+			})
+		})
+	}
+}
+
 // VMs that know the same endpoints choose the same ones for copies of a request, whatever their
 // load, and others for another request.
 func TestCopiesOfSuspectShareEndpoints(t *testing.T) {
--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/splitmix"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
@@ -107,8 +109,8 @@
 	peers  map[source]peerLoad
 	// peerWork is the total work of the other VMs, by the hash of the endpoint's incarnation.
 	peerWork map[uint32]work
-	// changing holds the engines with a role change that another VM has ordered, by hash, and the
-	// time until which the change is assumed without a further report.
+	// changing holds the role changes that another VM has ordered, by roleChangeID, and the time
+	// until which each is assumed without a further report.
 	changing map[uint32]time.Time
 	// reportInterval is the time between two reports of one source, as a moving average over all
 	// sources; zero until a source has reported twice.
@@ -193,8 +195,8 @@
 		}
 		t.subtract(unused)
 	}
-	for _, hash := range load.Changing {
-		t.changing[hash] = now.Add(roleChangeTTL)
+	for _, id := range load.Changing {
+		t.changing[id] = now.Add(roleChangeTTL)
 	}
 	for _, hash := range load.Refusing {
 		if e := t.byHash[hash]; e != nil {
@@ -243,9 +245,18 @@
 // requests until its row changed, all of which failed.
 const roleChangeTTL = 4 * time.Second
 
+// roleChangeID identifies a role change by the hash of the engine's incarnation and the role that it ends. A
+// report of the change that arrives after the row of the new role thus has no effect.
+func roleChangeID(incarnation uint32, role engine.Role) uint32 {
+	return uint32(splitmix.Mix(uint64(incarnation)<<32 | uint64(loadshare.Hash(string(role)))))
+}
+
 // changesRole reports whether another VM has ordered the engine to change its role.
-func (t *loadTracker) changesRole(now time.Time, e *endpointLoad) bool {
-	return now.Before(t.changing[e.hash])
+func (t *loadTracker) changesRole(now time.Time, e *directory.Endpoint) bool {
+	if len(t.changing) == 0 {
+		return false
+	}
+	return now.Before(t.changing[roleChangeID(t.get(e).hash, e.Role)])
 }
 
 // refusesPeers reports whether another VM lists the endpoint as refusing.
@@ -258,10 +269,9 @@
 	return false
 }
 
-// roleChanged clears the pending role change and the pause of an engine whose role has changed.
+// roleChanged clears the pause of an engine whose role has changed.
 func (t *loadTracker) roleChanged(id string) {
 	if e := t.byID[id]; e != nil {
-		delete(t.changing, e.hash)
 		e.pausedUntil, e.refusals = time.Time{}, 0
 	}
 }
--- a/placement/loadtracker_test.go
+++ b/placement/loadtracker_test.go
@@ -47,7 +47,7 @@
 	inVirtualTime(t, func(t *testing.T, f *fixture) {
 		f.addEngine("d1", "a", engine.Decode)
 		f.addEngine("d2", "a", engine.Decode)
-		f.planner.ReceiveLoad(&sharepb.Load{Vm: "author", Changing: []uint32{loadshare.Hash("d1")}})
+		f.planner.ReceiveLoad(&sharepb.Load{Vm: "author", Changing: []uint32{roleChangeID(loadshare.Hash("d1"), engine.Decode)}})
 		time.Sleep(2 * loadshare.TTL)
 		f.planner.LocalReport() // drops the report of the ordering VM
 		f.planner.ReceiveLoad(&sharepb.Load{Vm: "other"})
@@ -65,6 +65,36 @@
 	})
 }
 
+// reportChange makes the planner receive the report of another VM that has ordered an engine to change
+// its role, and has seen the given role last.
+func (f *fixture) reportChange(id string, role engine.Role) {
+	author := newFixture(f.t)
+	author.addEngine(id, "a", role)
+	author.roleChanges = []string{id}
+	f.planner.ReceiveLoad(&sharepb.Load{Vm: "author", Changing: author.planner.LocalReport().Changing})
+}
+
+// Guards against a report of a role change that arrives after the row of the new role: the engine
+// would be left alone for seconds.
+func TestLateReportOfRoleChangeHasNoEffect(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, f *fixture) {
+		f.addEngine("d1", "a", engine.Prefill)
+		f.reportChange("d1", engine.Prefill)
+		if _, failed := f.planner.Plan(f.shortReq(), relay.AttemptState{}); failed == nil {
+			t.Fatal("a request goes to an engine that changes its role")
+		}
+		f.addEngine("d1", "a", engine.Decode)
+		f.reportChange("d1", engine.Prefill)
+		if _, failed := f.planner.Plan(f.shortReq(), relay.AttemptState{}); failed != nil {
+			t.Errorf("refused after the change: %v", failed)
+		}
+		f.reportChange("d1", engine.Decode)
+		if _, failed := f.planner.Plan(f.shortReq(), relay.AttemptState{}); failed == nil {
+			t.Error("a request goes to an engine that changes its role once more")
+		}
+	})
+}
+
 // An engine that refuses looks idle to every VM. Once it has refused one VM twice, the other VMs
 // avoid it too unless it is the only engine.
 func TestRefusalsAreReportedToPeers(t *testing.T) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -295,7 +295,7 @@
 			t.Error("a request goes to an endpoint whose role change this VM has ordered")
 		}
 		f.roleChanges = nil
-		f.planner.ReceiveLoad(&sharepb.Load{Vm: "other", Changing: []uint32{loadshare.Hash("near")}})
+		f.planner.ReceiveLoad(&sharepb.Load{Vm: "other", Changing: []uint32{roleChangeID(loadshare.Hash("near"), "")}})
 		if p := f.plan(f.plainReq(), relay.AttemptState{}); p.Serve.ID != "far" {
 			t.Error("a request goes to an endpoint whose role change another VM has ordered")
 		}
@@ -404,7 +404,7 @@
 			t.Errorf("role change ordered by this VM: %q", cause)
 		}
 		f.roleChanges = nil
-		f.planner.ReceiveLoad(&sharepb.Load{Vm: "other", Changing: []uint32{loadshare.Hash(p.Serve.Incarnation())}})
+		f.planner.ReceiveLoad(&sharepb.Load{Vm: "other", Changing: []uint32{roleChangeID(loadshare.Hash(p.Serve.Incarnation()), p.Serve.Role)}})
 		if cause := p.Watch.Recheck(p.Serve); cause != relay.EndpointChangingRole {
 			t.Errorf("role change ordered by another VM: %q", cause)
 		}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -143,7 +143,7 @@
 // ordered, refusing endpoints, and the prompts placed since the previous call. It also drops
 // expired reports of peers.
 func (p *Planner) LocalReport() loadshare.Report {
-	changing := p.changingHashes()
+	changing := p.orderedChanges()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loads.expire(p.now())
@@ -151,14 +151,14 @@
 	return loadshare.Report{Work: work, Placed: placed, Changing: changing, Refusing: p.loads.refusing(p.now())}
 }
 
-// changingHashes returns the incarnation hashes of the engines whose role change this VM has
-// ordered.
-func (p *Planner) changingHashes() []uint32 {
+// orderedChanges returns the roleChangeID of each role change that this VM has ordered. The snapshot
+// is taken first, since it must not show the new role of a change that is listed as pending.
+func (p *Planner) orderedChanges() []uint32 {
 	var list []uint32
 	s := p.directory.Snapshot()
 	for _, id := range p.roleChanges() {
 		if e := s.Endpoint(id); e != nil {
-			list = append(list, loadshare.Hash(e.Incarnation()))
+			list = append(list, roleChangeID(loadshare.Hash(e.Incarnation()), e.Role))
 		}
 	}
 	return list
@@ -216,7 +216,7 @@
 	for _, e := range p.directory.Snapshot().Service(d.req.Service) {
 		load := p.loads.get(e)
 		switch {
-		case slices.Contains(excluded, e.ID), !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, load), d.isBlocked(e):
+		case slices.Contains(excluded, e.ID), !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
 		case load.down(d.now):
 			if d.now.Sub(load.downAt) >= downRetryInterval {
 				down = append(down, e)
--- a/placement/replay_scenarios_test.go
+++ b/placement/replay_scenarios_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/prompt"
@@ -85,7 +86,7 @@
 		r.load(60, 8*time.Second, shortPrompt)
 		r.run(2 * time.Second)
 		for _, vm := range r.vms {
-			vm.planner.ReceiveLoad(&sharepb.Load{Vm: "author", Changing: []uint32{loadshare.Hash("d0")}})
+			vm.planner.ReceiveLoad(&sharepb.Load{Vm: "author", Changing: []uint32{roleChangeID(loadshare.Hash("d0"), engine.Decode)}})
 		}
 		start := r.now
 		r.engines["d0"].refuses = true
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -61,7 +61,7 @@
 		r = w.prefill
 	}
 	switch {
-	case w.p.changesRole(r):
+	case w.p.changesRole(e):
 		return relay.EndpointChangingRole
 	case !w.p.health.StillValid(w.p.now().Sub(w.p.start), r.ticket):
 		return relay.EndpointEjected
@@ -72,13 +72,13 @@
 }
 
 // changesRole reports whether this VM or another one has ordered the engine to change its role.
-func (p *Planner) changesRole(r *reservation) bool {
-	if slices.Contains(p.roleChanges(), r.load.id) {
+func (p *Planner) changesRole(e *directory.Endpoint) bool {
+	if slices.Contains(p.roleChanges(), e.ID) {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.loads.changesRole(p.now(), r.load)
+	return p.loads.changesRole(p.now(), e)
 }
 
 // Prefilled implements relay.Watch.
