Let the retry of a suspect know the copies that run on other VMs

Cause: when a request that runs for 0.13 s before it crashes its endpoint crashes the first of three, a copy sent by another VM is running on the second. VMs do not know of each other's copies, so the retry of the first takes the third.

Change: a VM that learns of a crash in a group of up to six endpoints looks for copies of the suspects among its runs in that group, and announces them. A retry of a suspect waits for these announcements (the time that one takes to reach all VMs: 40 ms, 0.3 s with collectors). An endpoint on which a copy runs is not counted as reserved; the retry may join the copy there. Requests outside small groups, and those that are no suspects, do not wait, and nothing is hashed for them.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -68,6 +68,18 @@
 // Usable reports whether new work may be sent.
 func (e *Endpoint) Usable() bool { return !e.Draining }
 
+// Group identifies the endpoints that can replace one another: those of a service that either only
+// prefill or do not.
+type Group struct {
+	Service  string
+	Prefills bool
+}
+
+// Group returns the group of an endpoint.
+func (e *Endpoint) Group() Group {
+	return Group{Service: e.Service, Prefills: e.Role == engine.Prefill}
+}
+
 // Snapshot is an immutable view of all endpoints.
 type Snapshot struct {
 	byID      map[string]*Endpoint
--- a/loadshare/announcements.go
+++ b/loadshare/announcements.go
@@ -36,11 +36,13 @@
 	Cleared [][]byte
 	// Signals lists the states that endpoints reported.
 	Signals []*sharepb.EndpointSignal
+	// Copies lists runs in progress of requests that may have crashed an endpoint.
+	Copies []*sharepb.Copy
 }
 
 // empty reports whether the announcement has no content.
 func (a Announcement) empty() bool {
-	return len(a.Crashes) == 0 && len(a.Cleared) == 0 && len(a.Signals) == 0
+	return len(a.Crashes) == 0 && len(a.Cleared) == 0 && len(a.Signals) == 0 && len(a.Copies) == 0
 }
 
 // outbox queues the announcements to send. It is part of an Exchange and guarded by the Exchange's
@@ -75,6 +77,9 @@
 	for _, s := range a.Signals {
 		o.enqueue(now, &sharepb.Load{Signals: []*sharepb.EndpointSignal{s}})
 	}
+	for _, c := range a.Copies {
+		o.enqueue(now, &sharepb.Load{Copies: []*sharepb.Copy{c}})
+	}
 }
 
 func (o *outbox) enqueue(now time.Time, load *sharepb.Load) {
@@ -110,6 +115,7 @@
 		last.Crashes = append(last.Crashes, item.load.Crashes...)
 		last.Cleared = append(last.Cleared, item.load.Cleared...)
 		last.Signals = append(last.Signals, item.load.Signals...)
+		last.Copies = append(last.Copies, item.load.Copies...)
 		size += n
 		if item.sendsLeft--; item.sendsLeft > 0 {
 			rest = append(rest, item)
@@ -162,7 +168,7 @@
 // handleAnnouncements processes the announcements of a datagram, and queues them for forwarding if
 // this VM is a collector.
 func (x *Exchange) handleAnnouncements(load *sharepb.Load) {
-	a := Announcement{Crashes: load.Crashes, Cleared: load.Cleared, Signals: load.Signals}
+	a := Announcement{Crashes: load.Crashes, Cleared: load.Cleared, Signals: load.Signals, Copies: load.Copies}
 	if a.empty() || x.cfg.OnAnnouncement == nil {
 		return
 	}
--- a/loadshare/announcements_test.go
+++ b/loadshare/announcements_test.go
@@ -31,6 +31,9 @@
 	for _, key := range n.Cleared {
 		r.counts["cleared "+string(key)]++
 	}
+	for _, c := range n.Copies {
+		r.counts[fmt.Sprint("copy ", c.Endpoint)]++
+	}
 	for _, s := range n.Signals {
 		r.counts[fmt.Sprint("signal ", s.Endpoint, s.Version, s.Limited, s.LimitMilli, s.Draining)]++
 	}
@@ -89,7 +92,8 @@
 			time.Sleep(300 * time.Millisecond) // until the collectors have been seen
 			for i, r := range list {
 				r.x.Broadcast(Announcement{Crashes: []*sharepb.Crash{{Id: uint64(i)}}, Cleared: [][]byte{[]byte(r.peer.Name)},
-					Signals: []*sharepb.EndpointSignal{{Endpoint: uint64(i), Version: 1, Limited: true, LimitMilli: 4500}, {Endpoint: uint64(i), Draining: true}}})
+					Signals: []*sharepb.EndpointSignal{{Endpoint: uint64(i), Version: 1, Limited: true, LimitMilli: 4500}, {Endpoint: uint64(i), Draining: true}},
+					Copies:  []*sharepb.Copy{{Key: []byte{byte(i)}, Endpoint: uint64(i)}}})
 			}
 			start := time.Now()
 			for i, from := range list {
@@ -98,7 +102,7 @@
 						continue
 					}
 					eventually(t, fmt.Sprintf("%s to receive the announcements of %s", r.peer.Name, from.peer.Name), func() bool {
-						return r.count(fmt.Sprint("crash ", i)) > 0 && r.count("cleared "+from.peer.Name) > 0 &&
+						return r.count(fmt.Sprint("crash ", i)) > 0 && r.count("cleared "+from.peer.Name) > 0 && r.count(fmt.Sprint("copy ", i)) > 0 &&
 							r.count(fmt.Sprint("signal ", uint64(i), uint32(1), true, uint64(4500), false)) > 0 &&
 							r.count(fmt.Sprint("signal ", uint64(i), uint32(0), false, uint64(0), true)) > 0
 					})
--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -7,7 +7,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
-	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/relay"
 )
@@ -56,17 +55,6 @@
 	p.onDown()
 }
 
-// group identifies the endpoints that can replace one another: those of a service that either only
-// prefill or do not.
-type group struct {
-	service  string
-	prefills bool
-}
-
-func groupOf(e *directory.Endpoint) group {
-	return group{service: e.Service, prefills: e.Role == engine.Prefill}
-}
-
 // groupSize is the number of endpoints of a group that are up.
 type groupSize struct {
 	current int
@@ -76,7 +64,7 @@
 }
 
 // groupSizes holds the size of each group.
-type groupSizes map[group]*groupSize
+type groupSizes map[directory.Group]*groupSize
 
 // record records the current size of a group.
 func (s *groupSize) record(now time.Time, size int) {
@@ -98,13 +86,13 @@
 // recordGroups records the sizes of all groups. The caller holds mu.
 func (p *Planner) recordGroups(endpoints *directory.Snapshot) {
 	now := p.now()
-	sizes := map[group]int{}
+	sizes := map[directory.Group]int{}
 	for g := range p.groups {
 		sizes[g] = 0
 	}
 	for _, e := range endpoints.All() {
 		if e.Usable() && !p.loads.get(e).down(now) {
-			sizes[groupOf(e)]++
+			sizes[e.Group()]++
 		}
 	}
 	for g, size := range sizes {
@@ -135,13 +123,15 @@
 	// reserve is the number of endpoints of a group that must stay up if it crashes all others; zero
 	// if the request is not suspected.
 	reserve int
+	// copiesOn holds the IDs of the endpoints on which copies of the request are running.
+	copiesOn []string
 }
 
 // suspectOf returns the suspect that an attempt is. As many endpoints stay up as it is suspected of
 // having crashed, and one more for the first attempt of a request: it repeats another one, of which
 // more copies may be running.
 func suspectOf(prior relay.AttemptState) suspect {
-	s := suspect{key: prior.Suspicion.Key, reserve: prior.Suspicion.Crashes}
+	s := suspect{key: prior.Suspicion.Key, reserve: prior.Suspicion.Crashes, copiesOn: prior.Suspicion.CopiesOn}
 	if s.reserve > 0 && len(prior.Tried) == 0 {
 		s.reserve++
 	}
@@ -149,23 +139,28 @@
 }
 
 // expendableIn returns the endpoints of a group on which a suspect may run. At most all but one of
-// the group's usual number are reserved for others. All VMs choose the same ones, as far as they know
+// the group's usual number are reserved for others; an endpoint on which a copy of the suspect runs
+// cannot be reserved, since the copy may crash it. All VMs choose the same ones, as far as they know
 // the same endpoints to be up, so that copies of the request on different VMs crash no more.
 // changing is as for isUp. The caller holds mu.
-func (p *Planner) expendableIn(g group, s suspect, changing []string) []*directory.Endpoint {
+func (p *Planner) expendableIn(g directory.Group, s suspect, changing []string) []*directory.Endpoint {
 	now := p.now()
-	var up []*directory.Endpoint
-	for _, e := range p.directory.Snapshot().Service(g.service) {
-		if groupOf(e) == g && p.isUp(e, changing) {
-			up = append(up, e)
+	var unaffected, withCopy []*directory.Endpoint
+	for _, e := range p.directory.Snapshot().Service(g.Service) {
+		switch {
+		case e.Group() != g, !p.isUp(e, changing):
+		case slices.Contains(s.copiesOn, e.ID):
+			withCopy = append(withCopy, e)
+		default:
+			unaffected = append(unaffected, e)
 		}
 	}
-	usual := len(up)
+	usual := len(unaffected) + len(withCopy)
 	if size := p.groups[g]; size != nil {
 		usual = max(usual, size.reference(now))
 	}
 	reserved := min(s.reserve, usual-1)
-	return rendezvousTop(s.key, up, max(0, len(up)-reserved))
+	return append(withCopy, rendezvousTop(s.key, unaffected, max(0, len(unaffected)-reserved))...)
 }
 
 // expendable returns the endpoints on which the request may run: all of them unless it is suspected
@@ -174,10 +169,10 @@
 	if d.suspect.reserve == 0 {
 		return endpoints
 	}
-	allowed := map[group][]*directory.Endpoint{}
+	allowed := map[directory.Group][]*directory.Endpoint{}
 	var list []*directory.Endpoint
 	for _, e := range endpoints {
-		g := groupOf(e)
+		g := e.Group()
 		if _, known := allowed[g]; !known {
 			allowed[g] = d.p.expendableIn(g, d.suspect, d.changing)
 		}
@@ -197,7 +192,7 @@
 	changing := p.roleChanges() // takes a lock of its own, so it is not called under mu
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.expendableIn(groupOf(e), s, changing), func(allowed *directory.Endpoint) bool {
+	return slices.ContainsFunc(p.expendableIn(e.Group(), s, changing), func(allowed *directory.Endpoint) bool {
 		return allowed.ID == e.ID
 	})
 }
--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+// Guards against a retry that takes the last endpoint on which no copy of the suspect runs. It may
+// join a copy.
+func TestEndpointsWithCopiesCannotBeReserved(t *testing.T) {
+	for _, tc := range []struct {
+		copiesOn []string
+		want     []string
+	}{
+		{copiesOn: []string{"p1"}, want: []string{"p1"}},
+		{copiesOn: []string{"p2"}, want: []string{"p2"}},
+		{copiesOn: []string{"p1", "p2"}, want: []string{"p1", "p2"}},
+	} {
+		t.Run(fmt.Sprint(tc.copiesOn), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				for i := range 3 {
+					f.addPlain(fmt.Sprint("p", i), "a")
+				}
+				f.markDown("p0")
+				state := retryOf(1, 7)
+				state.Suspicion.CopiesOn = tc.copiesOn
+				ids, _ := f.choices(state)
+				slices.Sort(ids)
+				if !slices.Equal(ids, tc.want) {
+					t.Errorf("placed on %v, want %v", ids, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // VMs that know the same endpoints choose the same ones for copies of a request, whatever their
 // load, and others for another request.
 func TestCopiesOfSuspectShareEndpoints(t *testing.T) {
--- /dev/null
+++ b/poison/copies.go
@@ -0,0 +1,130 @@
+package poison
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/loadshare"
+	"github.com/springweir/springweir/loadshare/sharepb"
+	"github.com/springweir/springweir/relay"
+)
+
+const (
+	// smallGroup is the number of endpoints up to which copies of a suspect matter that run when the
+	// first endpoint crashes: such a request may crash three, and its copies as many again.
+	smallGroup = 2 * quarantineThreshold
+	// copyRetention is how long a copy is assumed to run after it was reported. A harmful request
+	// usually crashes its endpoint as it begins.
+	copyRetention = 2 * time.Second
+	// maxCopies bounds the suspects of which copies are known; the oldest are evicted first.
+	maxCopies = 256
+)
+
+// copyTracker holds the endpoints on which copies of suspects were running when an endpoint
+// crashed, on any VM. It is safe for concurrent use; mu is a leaf lock.
+type copyTracker struct {
+	mu sync.Mutex
+	// byKey holds the copies of each suspect: when they were reported, by the CrashID of their
+	// endpoint.
+	byKey map[Key]map[uint64]time.Time
+	// order holds the keys, the oldest first.
+	order []Key
+}
+
+func newCopyTracker() *copyTracker { return &copyTracker{byKey: map[Key]map[uint64]time.Time{}} }
+
+// add records that a copy of a suspect runs on an endpoint.
+func (c *copyTracker) add(k Key, endpoint uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byKey[k] == nil {
+		if len(c.order) >= maxCopies {
+			delete(c.byKey, c.order[0])
+			c.order = c.order[1:]
+		}
+		c.byKey[k] = map[uint64]time.Time{}
+		c.order = append(c.order, k)
+	}
+	c.byKey[k][endpoint] = now
+}
+
+// remove removes the copies of a request that was cleared.
+func (c *copyTracker) remove(k Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byKey[k] == nil {
+		return
+	}
+	delete(c.byKey, k)
+	c.order = slices.DeleteFunc(c.order, func(other Key) bool { return other == k })
+}
+
+// on returns the IDs of those of the endpoints on which copies of a request run.
+func (c *copyTracker) on(k Key, endpoints []*directory.Endpoint, now time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	copies := c.byKey[k]
+	if len(copies) == 0 {
+		return nil
+	}
+	var ids []string
+	for _, e := range endpoints {
+		if reportedAt, running := copies[CrashID(e)]; running && now.Sub(reportedAt) <= copyRetention {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
+// inSmallGroup reports whether few endpoints can replace an endpoint.
+func (g *Guard) inSmallGroup(e *directory.Endpoint) bool {
+	n := 0
+	for _, other := range g.cfg.Directory.Snapshot().Service(e.Service) {
+		if other.Group() == e.Group() {
+			n++
+		}
+	}
+	return n <= smallGroup
+}
+
+// announceCopies tells all VMs which copies of the suspects of a crash run on this VM, if the
+// endpoint belongs to a small group. Otherwise a retry that avoids the endpoint that crashed might
+// take the last one on which no copy runs.
+func (g *Guard) announceCopies(crashed *directory.Endpoint, suspects []Suspect) {
+	if len(suspects) == 0 || !g.inSmallGroup(crashed) {
+		return
+	}
+	var running []*sharepb.Copy
+	for request, e := range g.runs.activeIn(crashed.Group()) {
+		key := KeyOf(request)
+		if !slices.ContainsFunc(suspects, func(s Suspect) bool { return s.Key == key }) {
+			continue
+		}
+		klog.InfoS("poison: copy of a suspect is running", "request", request.ID, "key", key.String(), "endpoint", e.ID, "crashed", crashed.ID)
+		g.copies.add(key, CrashID(e), g.now())
+		running = append(running, &sharepb.Copy{Key: key[:], Endpoint: CrashID(e)})
+	}
+	if len(running) > 0 {
+		g.cfg.Broadcast(loadshare.Announcement{Copies: running})
+	}
+}
+
+// receiveCopy records a copy that another VM announced.
+func (g *Guard) receiveCopy(message *sharepb.Copy) {
+	if key, ok := parseKey(message.Key); ok {
+		g.copies.add(key, message.Endpoint, g.now())
+	}
+}
+
+// awaitCopies waits until the other VMs have announced the copies that they run of a request whose
+// endpoint has crashed, if the request is a suspect and the endpoint belongs to a small group.
+func (g *Guard) awaitCopies(r *relay.Request, e *directory.Endpoint) {
+	if !g.runs.isDown(e) || !g.inSmallGroup(e) || g.ledger.Suspicion(KeyOf(r), OriginOf(r)) == 0 {
+		return
+	}
+	time.Sleep(g.cfg.PropagationDelay())
+}
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -10,6 +10,7 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/relay"
@@ -44,8 +45,10 @@
 // relay.Guard and is safe for concurrent use.
 type Guard struct {
 	cfg    Config
+	now    func() time.Time
 	runs   *RunTracker
 	ledger *Ledger
+	copies *copyTracker
 	store  *QuarantineStore
 }
 
@@ -53,7 +56,7 @@
 
 // NewGuard returns a guard without any suspects or quarantine entries.
 func NewGuard(cfg Config) *Guard {
-	g := &Guard{cfg: cfg}
+	g := &Guard{cfg: cfg, now: clock.OrSystem(cfg.Now), copies: newCopyTracker()}
 	g.ledger = NewLedger(cfg.Now, func() time.Duration { return cfg.PropagationDelay() + propagationMargin })
 	g.store = NewQuarantineStore(g.ledger, cfg.Rows, cfg.Feed)
 	g.runs = NewRunTracker(RunTrackerConfig{Down: cfg.Down, OnDown: cfg.OnDown, OnCrash: g.handleLocalCrash, Now: cfg.Now})
@@ -80,7 +83,10 @@
 	if crashes == 0 {
 		return relay.Suspicion{}, nil
 	}
-	return relay.Suspicion{Crashes: crashes, Key: binary.BigEndian.Uint32(key[:])}, nil
+	return relay.Suspicion{
+		Crashes: crashes, Key: binary.BigEndian.Uint32(key[:]),
+		CopiesOn: g.copies.on(key, g.cfg.Directory.Snapshot().Service(r.Service), g.now()),
+	}, nil
 }
 
 // refusal returns the failure of a request that is quarantined or awaits an evaluation, or nil.
@@ -102,9 +108,15 @@
 	return nil
 }
 
+// Started implements relay.Guard.
+func (g *Guard) Started(r *relay.Request, e *directory.Endpoint) { g.runs.RecordStart(r, e) }
+
 // Ended implements relay.Guard.
 func (g *Guard) Ended(r *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
 	g.runs.RecordEnd(r, e, end)
+	if end.Outcome == relay.RunInterrupted {
+		g.awaitCopies(r, e)
+	}
 	if end.Outcome != relay.RunCompleted || g.ledger.Empty() {
 		return
 	}
@@ -113,6 +125,7 @@
 	if len(cleared) == 0 {
 		return
 	}
+	g.copies.remove(key)
 	klog.InfoS("poison: request cleared by a complete response", "request", r.ID, "key", key.String())
 	for _, s := range cleared {
 		g.store.Remove(s)
@@ -135,6 +148,9 @@
 		g.cfg.Broadcast(loadshare.Announcement{Crashes: []*sharepb.Crash{message}})
 	}
 	g.evaluateAfter(g.ledger.RecordCrash(c), true)
+	if e := g.endpointOf(c.ID); e != nil {
+		g.announceCopies(e, c.Suspects)
+	}
 }
 
 // maxSuspectsPerMessage bounds one announcement to about a kilobyte, which fits a datagram.
@@ -145,8 +161,12 @@
 	for _, c := range n.Crashes {
 		g.receiveCrash(c)
 	}
+	for _, c := range n.Copies {
+		g.receiveCopy(c)
+	}
 	for _, b := range n.Cleared {
 		if key, ok := parseKey(b); ok && len(g.ledger.Clear(key, anyOrigin)) > 0 {
+			g.copies.remove(key)
 			klog.V(1).InfoS("poison: request cleared by a complete response on another VM", "key", key.String())
 		}
 	}
@@ -162,11 +182,20 @@
 		}
 	}
 	g.evaluateAfter(g.ledger.RecordCrash(c), false)
+	if e := g.endpointOf(c.ID); e != nil {
+		g.runs.RecordRemoteCrash(e)
+		g.announceCopies(e, c.Suspects)
+	}
+}
+
+// endpointOf returns the registered endpoint that a crash is of, or nil.
+func (g *Guard) endpointOf(crashID uint64) *directory.Endpoint {
 	for _, e := range g.cfg.Directory.Snapshot().All() {
-		if CrashID(e) == c.ID {
-			g.runs.RecordRemoteCrash(e)
+		if CrashID(e) == crashID {
+			return e
 		}
 	}
+	return nil
 }
 
 // evaluateAfter evaluates the suspects once the reports of the other VMs have arrived. local is
--- a/poison/runs.go
+++ b/poison/runs.go
@@ -75,6 +75,8 @@
 	mu            sync.Mutex
 	byIncarnation map[string]*endpointState
 	completed     *completedRequests
+	// active holds the runs in progress, by their endpoints.
+	active map[*relay.Request]*directory.Endpoint
 }
 
 // endpointState is the state of one incarnation of an endpoint.
@@ -101,18 +103,47 @@
 	if cfg.OnDown == nil {
 		cfg.OnDown = func(*directory.Endpoint) {}
 	}
-	return &RunTracker{cfg: cfg, byIncarnation: map[string]*endpointState{}, completed: newCompletedRequests(rand.Uint64())}
+	return &RunTracker{cfg: cfg, byIncarnation: map[string]*endpointState{}, completed: newCompletedRequests(rand.Uint64()), active: map[*relay.Request]*directory.Endpoint{}}
 }
 
 // CrashID returns the ID for the crash of an incarnation of an endpoint. It is the same on all VMs.
 func CrashID(e *directory.Endpoint) uint64 { return xxhash.Sum64String(e.Incarnation()) }
 
+// RecordStart records that a run is about to be sent.
+func (r *RunTracker) RecordStart(request *relay.Request, e *directory.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active[request] = e
+}
+
+// activeIn returns the runs in progress in a group of endpoints.
+func (r *RunTracker) activeIn(g directory.Group) map[*relay.Request]*directory.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := map[*relay.Request]*directory.Endpoint{}
+	for request, e := range r.active {
+		if e.Group() == g {
+			runs[request] = e
+		}
+	}
+	return runs
+}
+
+// isDown reports whether an endpoint was found down within runRetention.
+func (r *RunTracker) isDown(e *directory.Endpoint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.byIncarnation[e.Incarnation()]
+	return s != nil && s.down(r.cfg.Now())
+}
+
 // RecordEnd records the end of a run. If the run was interrupted, it returns once the endpoint has
 // been probed, or after probeWait.
 func (r *RunTracker) RecordEnd(request *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
 	now := r.cfg.Now()
+	r.removeActive(request)
 	switch end.Outcome {
-	case relay.RunRefused:
+	case relay.RunRefused, relay.RunPrefilled:
 		return
 	case relay.RunCompleted:
 		r.recordCompleted(request, now)
@@ -139,6 +170,12 @@
 	}
 }
 
+func (r *RunTracker) removeActive(request *relay.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.active, request)
+}
+
 func (r *RunTracker) recordCompleted(request *relay.Request, now time.Time) {
 	fingerprint := r.completed.fingerprint(request)
 	r.mu.Lock()
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -18,7 +18,10 @@
 	// request is suspected of crashing endpoints. It is called before each attempt is planned and
 	// again before it is sent.
 	Check(r *Request) (Suspicion, *failure.Request)
-	// Ended is called after each attempt that was sent, except for successful prefills.
+	// Started is called just before an attempt or a separate prefill is sent.
+	Started(r *Request, e *directory.Endpoint)
+	// Ended is called at the end of each attempt and separate prefill, also of one that was not
+	// sent.
 	Ended(r *Request, e *directory.Endpoint, end RunEnd)
 }
 
@@ -29,6 +32,9 @@
 	Crashes int
 	// Key identifies the request across its repetitions. It is zero if Crashes is.
 	Key uint32
+	// CopiesOn holds the IDs of the endpoints on which copies of the request are running, as far as
+	// it is known.
+	CopiesOn []string
 }
 
 // RunOutcome is how an attempt ended from the point of view of its endpoint.
@@ -37,6 +43,8 @@
 const (
 	// RunCompleted means that the endpoint sent a complete response, which may report an error.
 	RunCompleted RunOutcome = iota
+	// RunPrefilled means that a separate prefill succeeded. The request itself has not run.
+	RunPrefilled
 	// RunRefused means that the request did not run.
 	RunRefused
 	// RunInterrupted means that the endpoint closed or reset the connection.
@@ -59,6 +67,9 @@
 // Check implements Guard.
 func (noGuard) Check(*Request) (Suspicion, *failure.Request) { return Suspicion{}, nil }
 
+// Started implements Guard.
+func (noGuard) Started(*Request, *directory.Endpoint) {}
+
 // Ended implements Guard.
 func (noGuard) Ended(*Request, *directory.Endpoint, RunEnd) {}
 
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -25,10 +25,17 @@
 	defer dog.Stop()
 	prefillAttempt, start := *a, clock.Now()
 	prefillAttempt.Endpoint, prefillAttempt.CopyFrom = plan.Prefill, plan.CopyFrom
-	prefillAttempt.BeforeSend = func() *failure.Request { return j.recheck(ctx, plan, plan.Prefill) }
+	prefillAttempt.BeforeSend = func() *failure.Request {
+		failed := j.recheck(ctx, plan, plan.Prefill)
+		if failed == nil {
+			j.relay.cfg.Guard.Started(j.req, plan.Prefill)
+		}
+		return failed
+	}
 	handle, failed := j.relay.cfg.Upstream.Prefill(prefillCtx, &prefillAttempt)
 	if j.withdrawn != nil {
 		plan.Watch.Prefilled(j.withdrawn, true)
+		j.reportEnd(ctx, plan.Prefill, j.withdrawn)
 		return j.withdrawn
 	}
 	failed = watchdog.Explain(prefillCtx, failed)
@@ -39,6 +46,7 @@
 		j.recordTried(plan.Prefill, failed)
 		return prefillFailure(failed)
 	}
+	j.relay.cfg.Guard.Ended(j.req, plan.Prefill, RunEnd{Outcome: RunPrefilled})
 	j.handle, j.prefilled = handle, true
 	klog.InfoS("relay: prompt prefilled", "request", j.req.ID, "endpoint", plan.Prefill.ID, "tookMS", clock.Since(start).Milliseconds(), "tokens", handle.Tokens)
 	return nil
--- a/relay/recheck_test.go
+++ b/relay/recheck_test.go
@@ -165,6 +165,8 @@
 	return Suspicion{}, s.failed
 }
 
+func (s *scheduledRouter) Started(*Request, *directory.Endpoint) {}
+
 func (s *scheduledRouter) Ended(*Request, *directory.Endpoint, RunEnd) {}
 
 // lazyRouter creates its scheduledRouter on first use, so that the schedule starts with the
@@ -181,9 +183,11 @@
 	return l.router
 }
 
-func (l *lazyRouter) Route(r *Request) (*Request, *failure.Request)       { return l.get().Route(r) }
-func (l *lazyRouter) Admit(r *Request) *failure.Request                   { return l.get().Admit(r) }
-func (l *lazyRouter) Check(r *Request) (Suspicion, *failure.Request)      { return l.get().Check(r) }
+func (l *lazyRouter) Route(r *Request) (*Request, *failure.Request)  { return l.get().Route(r) }
+func (l *lazyRouter) Admit(r *Request) *failure.Request              { return l.get().Admit(r) }
+func (l *lazyRouter) Check(r *Request) (Suspicion, *failure.Request) { return l.get().Check(r) }
+func (l *lazyRouter) Started(*Request, *directory.Endpoint)          {}
+
 func (l *lazyRouter) Ended(r *Request, e *directory.Endpoint, end RunEnd) {}
 
 // A condition that ends a delayed request ends it before anything more is sent, and the failure
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,6 +151,7 @@
 		failed := j.recheck(ctx, plan, plan.Serve)
 		if failed == nil {
 			j.recordSend()
+			j.relay.cfg.Guard.Started(j.req, plan.Serve)
 		}
 		return failed
 	}
@@ -176,6 +177,7 @@
 	j.resolveSend(failed)
 	if j.withdrawn != nil {
 		plan.Watch.Finished(nil, true)
+		j.reportEnd(ctx, plan.Serve, j.withdrawn)
 		return j.withdrawn
 	}
 	plan.Watch.Finished(failed, isAbandoned(ctx, failed))
