Keep organisations within their limits on all VMs together

Cause: limits of organisations (per-s, burst, in requests or tokens) were not read from the configuration at all.

Change: package quota. Each limit is granted by one VM, the first responsive one in a rendezvous order; the others ask it for each request of a limited organisation. The bucket may go into debt by one request. The next VM in the order stands in; a VM that reaches neither uses its own part. Over a partition both sides divide the limit. Requests that did not run are refunded. 429 now carries Retry-After.

Ruled out (docs/design/quotas.md): shares by rank as in signals, shares by demand, sums by datagrams, claims in the store, the usage accounts.

A zone of one VM that dies looks cut off and leaves its part unused.

Besides: the order of VMs for a hash is one function of loadshare, and one HTTP client for other VMs serves feedshare, usage and quota.

--- a/duties/usage/replicas.go
+++ b/duties/usage/replicas.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -52,11 +51,7 @@
 // NewClient returns a client of the replicas at addresses (host:port). The result of addresses may
 // change over time.
 func NewClient(n network.Network, addresses func() []string) *Client {
-	transport := &http.Transport{
-		DialContext:     func(ctx context.Context, _, address string) (net.Conn, error) { return n.Connect(ctx, address) },
-		IdleConnTimeout: idleConnTimeout,
-	}
-	return &Client{http: &http.Client{Transport: transport}, addresses: addresses}
+	return &Client{http: n.HTTPClient(0, idleConnTimeout), addresses: addresses}
 }
 
 // Read implements Replicas. It queries all replicas concurrently.
--- a/feedshare/client.go
+++ b/feedshare/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -40,15 +39,7 @@
 
 // NewClient returns a client for all VMs that are reachable over n.
 func NewClient(n network.Network) *Client {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
-			return n.Connect(ctx, address)
-		},
-		IdleConnTimeout: peerIdleTimeout,
-	}
-	return &Client{http: &http.Client{Transport: transport}, byAddress: map[string]feedpb.Feed{}}
+	return &Client{http: n.HTTPClient(connectTimeout, peerIdleTimeout), byAddress: map[string]feedpb.Feed{}}
 }
 
 func (c *Client) feed(address string) feedpb.Feed {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/placement"
 	"github.com/springweir/springweir/poison"
+	"github.com/springweir/springweir/quota"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/retry"
 	"github.com/springweir/springweir/rolechange"
@@ -139,6 +140,7 @@
 	roles  *rolechange.Controller
 	duties *duties.Runner
 	guard  *poison.Guard
+	quota  *quota.Limiter
 	// configs, endpoints, vms and verdicts are the sources of the tables that this VM follows.
 	configs, endpoints, vms, verdicts *feedshare.Source
 	// stored is the configuration last received from the store; nil before the first.
@@ -178,6 +180,7 @@
 		Rows: p.Rows, Epoch: p.Epoch, HandoverDelay: s.Lease, Rank: g.exchange.Rank,
 		Self: lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
 	}, g.listDuties(wallClock)...)
+	g.quota = quota.New(quota.Config{VM: s.VM, Limit: g.state.limitOf, Peers: quota.NewClient(n)})
 	g.guard = poison.NewGuard(poison.Config{
 		Down: p.Down, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
 	})
@@ -315,7 +318,7 @@
 
 func (g *Gateway) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           &handler{codec: g.platform.Codec, relay: g.relay, state: g.state},
+		Handler:           &handler{codec: g.platform.Codec, relay: g.relay, state: g.state, quota: g.quota},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/prompt"
+	"github.com/springweir/springweir/quota"
 	"github.com/springweir/springweir/relay"
 )
 
@@ -53,6 +55,7 @@
 	codec Codec
 	relay *relay.Relay
 	state *state
+	quota *quota.Limiter
 }
 
 // ServeHTTP implements http.Handler.
@@ -71,11 +74,28 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
+	reservation, failed := h.reserveQuota(r.Context(), req)
+	if failed != nil {
+		h.reject(w, r, call.ID, failed)
+		return
+	}
 	writer := &responseWriter{w: w, control: http.NewResponseController(w)}
 	result := h.relay.Serve(r.Context(), req, writer)
+	if ranOf(result.Failure) == failure.NotRun {
+		reservation.Refund()
+	}
 	h.finish(w, r, req, result)
 }
 
+// reserveQuota takes the cost of a request from the limit of its organisation, if there is one.
+func (h *handler) reserveQuota(ctx context.Context, req *relay.Request) (*quota.Reservation, *failure.Request) {
+	o := req.Organisation
+	if o == nil || !o.Limit.Limited() {
+		return nil, nil
+	}
+	return h.quota.Reserve(ctx, req.ID, o.Name, o.Limit.Cost(req.Prompt))
+}
+
 // buildRequest finds the route, identifies the caller and reads the body.
 func (h *handler) buildRequest(w http.ResponseWriter, r *http.Request, call Call, received time.Time) (*relay.Request, *failure.Request) {
 	config := h.state.config.Load()
@@ -193,7 +213,7 @@
 	}
 	status := statusOf(failed)
 	after := time.Duration(0)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after = max(failed.RetryAfter, retryAfter)
 	}
 	h.codec.SetRefusalHeaders(w.Header(), id, after)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -17,6 +17,7 @@
 // that share the retry budget.
 func (g *Gateway) setPeers(vms []roster.VM) {
 	peers := make([]loadshare.Peer, 0, len(vms))
+	addresses := make(map[string]string, len(vms))
 	for _, vm := range vms {
 		address, err := netip.ParseAddrPort(vm.Address)
 		if err != nil {
@@ -24,17 +25,23 @@
 			continue
 		}
 		peers = append(peers, loadshare.Peer{Name: vm.Name, Zone: vm.Zone, Capacity: vm.Capacity, Address: address})
+		addresses[vm.Name] = vm.Address
 	}
 	g.exchange.SetPeers(peers)
+	g.quota.SetAddresses(addresses)
 	g.budgets.setVMCount(len(vms) + 1)
 }
 
-// membershipInterval is how often the signal tracker receives the current members.
+// membershipInterval is how often those who share limits receive the current members.
 const membershipInterval = 100 * time.Millisecond
 
-// updateMembership keeps the shares of rate limits in line with the VMs that are present.
+// updateMembership keeps the shares of limits in line with the VMs that are present.
 func (g *Gateway) updateMembership(ctx context.Context) {
-	loop.Every(ctx, membershipInterval, func() { g.signals.SetMembers(g.exchange.Membership()) })
+	loop.Every(ctx, membershipInterval, func() {
+		members := g.exchange.Membership()
+		g.signals.SetMembers(members)
+		g.quota.SetMembers(members)
+	})
 }
 
 // receiveAnnouncement handles an announcement sent to all VMs.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springweir/springweir/freshness"
+	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/routes"
 )
 
@@ -79,3 +80,15 @@
 		}
 	}
 }
+
+// limitOf returns the limit of an organisation in the configuration in force, or the zero Limit.
+func (s *state) limitOf(name string) organisation.Limit {
+	config := s.config.Load()
+	if config == nil {
+		return organisation.Limit{}
+	}
+	if o := config.Organisations.ByName(name); o != nil {
+		return o.Limit
+	}
+	return organisation.Limit{}
+}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 // Network provides the functions with which a process listens and dials.
@@ -29,6 +30,20 @@
 	return t
 }
 
+// HTTPClient returns a client that opens connections over the network. A connect timeout of zero means
+// that of the request; idle connections are closed after idleTimeout.
+func (n Network) HTTPClient(connectTimeout, idleTimeout time.Duration) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		if connectTimeout > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+		}
+		return n.Connect(ctx, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout}}
+}
+
 // Connect opens a connection to an address (host:port). Over TCP, the error is of package net.
 func (n Network) Connect(ctx context.Context, address string) (net.Conn, error) {
 	if n.Dial != nil {
--- a/loadshare/membership.go
+++ b/loadshare/membership.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
@@ -16,12 +18,32 @@
 // Member is a VM that is responsive.
 type Member struct{ Name, Zone string }
 
+// PrecedesFor reports whether m comes before o in the order of the VMs for a hash (rendezvous
+// hashing). All VMs compute the same order, the orders for two hashes are independent, and a VM that
+// joins or leaves does not change the order of the others.
+func (m Member) PrecedesFor(hash uint64, o Member) bool {
+	return cmp.Or(cmp.Compare(m.weight(hash), o.weight(hash)), cmp.Compare(m.Name, o.Name)) > 0
+}
+
+// weight returns the sort key of a VM for a hash. The hash is mixed in after the name's.
+func (m Member) weight(hash uint64) uint64 {
+	h := xxhash.Sum64String(m.Name) ^ hash
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
 // Membership lists the VMs of the region that this VM finds responsive.
 type Membership struct {
 	// Live lists the responsive VMs by name, this VM included.
 	Live []Member
 	// Registered is the number of all registered VMs, this one included.
 	Registered int
+	// InSilentZones is the number of registered VMs in availability zones without a responsive VM.
+	// These are more likely to be cut off than to have stopped.
+	InSilentZones int
 }
 
 // Membership returns the current membership.
@@ -34,9 +56,16 @@
 func (r *region) membership(now time.Time) Membership {
 	m := Membership{Live: []Member{{r.self.Name, r.self.Zone}}, Registered: len(r.peers) + 1}
 	unresponsive := r.unresponsiveFunc(now)
+	live := map[string]bool{r.self.Zone: true}
 	for _, p := range r.peers {
 		if !unresponsive(p) {
 			m.Live = append(m.Live, Member{p.Name, p.Zone})
+			live[p.Zone] = true
+		}
+	}
+	for _, p := range r.peers {
+		if !live[p.Zone] {
+			m.InSilentZones++
 		}
 	}
 	slices.SortFunc(m.Live, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -54,20 +54,24 @@
 	Priority *int
 	// Keys may be empty; no caller can then identify as this organisation.
 	Keys []Digest
+	// Limit bounds what its requests may use on all VMs together.
+	Limit Limit
 }
 
 // Registry looks up organisations by API key. It is immutable.
 type Registry struct {
 	organisations []Organisation
 	byKey         map[Digest]*Organisation
+	byName        map[string]*Organisation
 }
 
 // NewRegistry returns a registry of organisations. A key listed by several organisations belongs to
 // the first and is returned in shared: refusing it would lock out legitimate callers.
 func NewRegistry(organisations []Organisation) (r *Registry, shared []Digest) {
-	r = &Registry{organisations: slices.Clone(organisations), byKey: map[Digest]*Organisation{}}
+	r = &Registry{organisations: slices.Clone(organisations), byKey: map[Digest]*Organisation{}, byName: map[string]*Organisation{}}
 	for i := range r.organisations {
 		o := &r.organisations[i]
+		r.byName[o.Name] = o
 		for _, key := range o.Keys {
 			switch owner := r.byKey[key]; {
 			case owner == nil:
@@ -92,6 +96,14 @@
 // slice.
 func (r *Registry) Organisations() []Organisation { return r.organisations }
 
+// ByName returns an organisation, or nil. It returns nil for a nil registry.
+func (r *Registry) ByName(name string) *Organisation {
+	if r == nil {
+		return nil
+	}
+	return r.byName[name]
+}
+
 // Identify returns the organisation of a credential. The error is *CredentialError.
 func (r *Registry) Identify(c Credential) (*Organisation, error) {
 	if c.Problem != "" {
--- a/signals/share.go
+++ b/signals/share.go
@@ -1,12 +1,9 @@
 package signals
 
 import (
-	"cmp"
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/springweir/springweir/loadshare"
 )
 
@@ -89,16 +86,5 @@
 	if aInZone := a.Zone == zone; aInZone != (b.Zone == zone) {
 		return aInZone
 	}
-	return cmp.Or(cmp.Compare(weight(a.Name, hash), weight(b.Name, hash)), cmp.Compare(a.Name, b.Name)) > 0
-}
-
-// weight returns the sort key of a VM for an endpoint. The endpoint's hash is mixed in after the
-// name's, so that the orders of two endpoints are independent.
-func weight(vm string, hash uint64) uint64 {
-	h := xxhash.Sum64String(vm) ^ hash
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
+	return a.PrecedesFor(hash, b)
 }
