placement: find the engine of a reported prompt by its hash

Cause: for each prompt that another VM reports, a VM that has not planned on the engine yet searched all endpoints and hashed each one's ID: 1.1 ms with 10,000 endpoints. At 650 prompts a second this is more than a VM's processor.

Change: the tracked load is found by its hash, and leads to the endpoint.

--- a/placement/cachereports.go
+++ b/placement/cachereports.go
@@ -38,24 +38,19 @@
 // engineByHash returns the tracked load of the engine with this incarnation hash, including its
 // cache model, or nil if no such engine is registered. The caller holds mu.
 func (p *Planner) engineByHash(hash uint32) *endpointLoad {
-	if load := p.loads.byHash[hash]; load != nil && load.cache != nil {
+	load := p.loads.byHash[hash]
+	if load == nil || load.cache != nil {
 		return load
 	}
-	config := p.config()
-	if config == nil {
+	e, config := p.directory.Snapshot().Endpoint(load.id), p.config()
+	if e == nil || e.StartedAt != load.startedAt || config == nil {
 		return nil
 	}
-	for _, e := range p.directory.Snapshot().All() {
-		if loadshare.Hash(e.Incarnation()) != hash {
-			continue
-		}
-		s := config.Service(e.Service)
-		if s == nil || s.Engine == nil {
-			return nil
-		}
-		return p.loads.getEngine(e, s.Engine.KVTokens)
+	s := config.Service(e.Service)
+	if s == nil || s.Engine == nil {
+		return nil
 	}
-	return nil
+	return p.loads.getEngine(e, s.Engine.KVTokens)
 }
 
 // receivePlaced records the prompts that another VM has placed. The caller holds mu.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -18,14 +18,14 @@
 
 // fixture is a planner with its directory of endpoints.
 type fixture struct {
-	t           *testing.T
+	t           testing.TB
 	dir         *directory.Directory
 	planner     *Planner
 	roleChanges []string
 	requests    int
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{t: t}
 	config := &routes.Config{Services: []routes.Service{
 		{Name: "plain"},
@@ -428,7 +428,7 @@
 }
 
 // newAttempt reserves an endpoint for an attempt.
-func (p *Planner) newAttempt(t *testing.T, e *directory.Endpoint) *attemptWatch {
+func (p *Planner) newAttempt(t testing.TB, e *directory.Endpoint) *attemptWatch {
 	t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
