placement: report local work without visiting all endpoints

Cause: every 10 to 20 ms a VM went over all endpoints it knows, twice, to find the few with work or refusals of its own: 0.69 ms with 10,000 endpoints, 34 ms a second, on VMs with a fifth of a core.

Change: the tracker keeps the endpoints with local work and those with refusals.

TestCostOfReportIsIndependentOfFleet.

--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -106,7 +106,10 @@
 type loadTracker struct {
 	byID   map[string]*endpointLoad
 	byHash map[uint32]*endpointLoad
-	peers  map[source]peerLoad
+	// working holds the tracked endpoints with local work, and refused those with consecutive
+	// refusals. Reports are made of these, so their cost does not grow with the number of endpoints.
+	working, refused map[*endpointLoad]bool
+	peers            map[source]peerLoad
 	// peerWork is the total work of the other VMs, by the hash of the endpoint's incarnation.
 	peerWork map[uint32]work
 	// changing holds the role changes that another VM has ordered, by roleChangeID, and the time
@@ -123,7 +126,7 @@
 const maxPendingPlaced = 256
 
 func newLoadTracker() *loadTracker {
-	return &loadTracker{byID: map[string]*endpointLoad{}, byHash: map[uint32]*endpointLoad{}, peers: map[source]peerLoad{}, peerWork: map[uint32]work{}, changing: map[uint32]time.Time{}}
+	return &loadTracker{byID: map[string]*endpointLoad{}, byHash: map[uint32]*endpointLoad{}, working: map[*endpointLoad]bool{}, refused: map[*endpointLoad]bool{}, peers: map[source]peerLoad{}, peerWork: map[uint32]work{}, changing: map[uint32]time.Time{}}
 }
 
 // inFlight returns the work of all VMs at an endpoint.
@@ -146,13 +149,48 @@
 		return fresh
 	}
 	if tracked != nil {
-		delete(t.byHash, tracked.hash)
+		t.forget(tracked)
 	}
 	t.byID[e.ID] = fresh
 	t.byHash[fresh.hash] = fresh
 	return fresh
 }
 
+// forget removes a tracked endpoint.
+func (t *loadTracker) forget(e *endpointLoad) {
+	delete(t.byID, e.id)
+	delete(t.byHash, e.hash)
+	delete(t.working, e)
+	delete(t.refused, e)
+}
+
+// addLocal adds work of this VM to an endpoint, and subLocal removes it.
+func (t *loadTracker) addLocal(e *endpointLoad, w work) {
+	e.local.add(w)
+	t.updateWorking(e)
+}
+
+func (t *loadTracker) subLocal(e *endpointLoad, w work) {
+	e.local.sub(w)
+	t.updateWorking(e)
+}
+
+func (t *loadTracker) updateWorking(e *endpointLoad) {
+	if t.byID[e.id] == e && e.local != (work{}) {
+		t.working[e] = true
+	} else {
+		delete(t.working, e)
+	}
+}
+
+// recordRefusal pauses an endpoint that has refused a request.
+func (t *loadTracker) recordRefusal(now time.Time, e *endpointLoad, code failure.Reason) {
+	e.recordRefusal(now, code)
+	if t.byID[e.id] == e {
+		t.refused[e] = true
+	}
+}
+
 // getEngine returns the load of an engine, with a cache model of kvTokens tokens.
 func (t *loadTracker) getEngine(e *directory.Endpoint, kvTokens int) *endpointLoad {
 	load := t.get(e)
@@ -166,8 +204,7 @@
 func (t *loadTracker) retain(s *directory.Snapshot) {
 	for id, e := range t.byID {
 		if s.Endpoint(id) == nil && e.local == (work{}) {
-			delete(t.byID, id)
-			delete(t.byHash, e.hash)
+			t.forget(e)
 		}
 	}
 }
@@ -201,6 +238,7 @@
 	for _, hash := range load.Refusing {
 		if e := t.byHash[hash]; e != nil {
 			e.refusals = max(e.refusals, peerRefusals)
+			t.refused[e] = true
 		}
 	}
 	for _, w := range load.Work {
@@ -280,9 +318,12 @@
 // once.
 func (t *loadTracker) refusing(now time.Time) []uint32 {
 	var list []uint32
-	for _, e := range t.byID {
-		if e.refusals > 1 && now.Before(e.pausedUntil) {
+	for e := range t.refused {
+		switch {
+		case now.Before(e.pausedUntil) && e.refusals > 1:
 			list = append(list, e.hash)
+		case e.refusals == 0:
+			delete(t.refused, e)
 		}
 	}
 	return list
@@ -351,10 +392,8 @@
 // takeReport returns the local work, and the prompts placed since the previous call.
 func (t *loadTracker) takeReport() ([]*sharepb.Work, []*sharepb.Placed) {
 	var reported []*sharepb.Work
-	for _, e := range t.byID {
-		if e.local != (work{}) {
-			reported = append(reported, workToProto(e.hash, e.local))
-		}
+	for e := range t.working {
+		reported = append(reported, workToProto(e.hash, e.local))
 	}
 	placed := t.pendingPlaced
 	t.pendingPlaced = nil
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -328,6 +328,6 @@
 	if load.cache != nil {
 		r.model = d.p.modelOf(e.Service, e.Role)
 	}
-	load.local.add(w)
+	d.p.loads.addLocal(load, w)
 	return r, true
 }
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -128,7 +128,7 @@
 	if failed == nil && !r.copiesPrefix {
 		r.model.observe(r.work.prefill, r.queuedAhead, p.now().Sub(r.sentAt)-r.roundTrip)
 	}
-	r.load.local.prefill = r.load.local.prefill.minus(r.work.prefill)
+	p.loads.subLocal(r.load, work{prefill: r.work.prefill})
 	r.work.prefill = prefillWork{}
 }
 
@@ -139,7 +139,7 @@
 		return
 	}
 	r.ended = true
-	r.load.local.sub(r.work)
+	p.loads.subLocal(r.load, r.work)
 	if notSent(failed, abandoned) {
 		r.permit.Release()
 	}
@@ -151,7 +151,7 @@
 	case relay.IsConnectionRefused(failed):
 		p.markDown(r.load)
 	case failed.Ran == failure.NotRun:
-		r.load.recordRefusal(p.now(), failed.Code)
+		p.loads.recordRefusal(p.now(), r.load, failed.Code)
 	}
 	result := healthResult(failed, abandoned)
 	p.health.End(p.now().Sub(p.start), r.ticket, result)
--- a/placement/scale_test.go
+++ b/placement/scale_test.go
@@ -129,3 +129,17 @@
 		}
 	})
 }
+
+// Guards against a report to the other VMs, many times a second, that visits all endpoints.
+func TestCostOfReportIsIndependentOfFleet(t *testing.T) {
+	checkIndependentOfFleet(t, func(n int) func() {
+		f := fleetFixture(t, n)
+		return func() {
+			for range 10 {
+				if report := f.planner.LocalReport(); len(report.Work) == 0 {
+					t.Fatal("the request in flight is not reported")
+				}
+			}
+		}
+	})
+}
