placement: decide without looking up every endpoint

Change: endpoints that are down, paused or refusing others are kept as small sets; the health of single endpoints is looked at only while one is not healthy; the engines of a role are listed once a decision; an index leads from a part of a prompt to the engines that hold it. Of engines that hold equally much another may be chosen than before.

TestHoldersAreFoundByIndex compares the index with a search of all engines over 3,000 random states. What is left is one pass that filters and copies pointers.

--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -29,6 +29,10 @@
 // UsableInZone returns the number of usable endpoints in a zone.
 func (s *Snapshot) UsableInZone(zone string) int { return s.inZone[zone] }
 
+// Zones returns the number of usable endpoints of each zone that has any. The caller must not change
+// the map.
+func (s *Snapshot) Zones() map[string]int { return s.inZone }
+
 // UsableInGroups returns the number of usable endpoints of each group. The caller must not change the
 // map.
 func (s *Snapshot) UsableInGroups() map[Group]int { return s.inGroup }
@@ -111,7 +115,10 @@
 	return append(merged, added...)
 }
 
-func compareIDs(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) }
+func compareIDs(a, b *Endpoint) int { return a.CompareID(b.ID) }
+
+// CompareID compares the endpoint's ID with another, as cmp.Compare does.
+func (e *Endpoint) CompareID(id string) int { return cmp.Compare(e.ID, id) }
 
 // cloneMap returns a copy of a map that is not nil.
 func cloneMap[K comparable, V any](m map[K]V) map[K]V {
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -203,6 +203,13 @@
 	return Status{}
 }
 
+// AllHealthy reports whether all endpoints are healthy.
+func (t *Tracker) AllHealthy() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unhealthy == 0
+}
+
 // Begin must be called before a request is sent. It reports whether the request may be sent, and
 // makes it the trial if the endpoint is half-open.
 func (t *Tracker) Begin(now time.Duration, name string) (Ticket, bool) {
--- a/placement/cachemodel.go
+++ b/placement/cachemodel.go
@@ -35,6 +35,8 @@
 	// order lists the cached parts, most recently used first; parts indexes its elements.
 	order *list.List
 	parts map[uint32]*list.Element
+	// onAdd and onEvict are called for each part that is added or evicted; they may be nil.
+	onAdd, onEvict func(part uint32)
 }
 
 // cachedPart is a cached chunk and the predicted time at which its prefill ends.
@@ -83,6 +85,9 @@
 		evicted := c.order.Remove(oldest).(*cachedPart)
 		delete(c.parts, evicted.id)
 		c.used -= evicted.tokens
+		if c.onEvict != nil {
+			c.onEvict(evicted.id)
+		}
 	}
 }
 
@@ -96,4 +101,7 @@
 	}
 	c.parts[ch.id] = c.order.PushFront(&cachedPart{chunk: ch, readyAt: readyAt})
 	c.used += ch.tokens
+	if c.onAdd != nil {
+		c.onAdd(ch.id)
+	}
 }
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -22,16 +23,36 @@
 	}
 }
 
-// enginesWithRole returns the engines of a role in a new slice. It omits engines that refused
-// recently and those in an unreachable zone, unless no others are left.
+// enginesWithRole returns the engines of a role, sorted by ID. It omits engines that refused recently
+// and those in an unreachable zone, unless no others are left. The caller must not change the slice.
 func (d *decision) enginesWithRole(role engine.Role) []*directory.Endpoint {
-	var all, preferred []*directory.Endpoint
+	prefills := role == engine.Prefill
+	if d.withRole == nil {
+		d.withRole = map[bool][]*directory.Endpoint{}
+	}
+	list, known := d.withRole[prefills]
+	if !known {
+		list = d.selectRole(prefills)
+		d.withRole[prefills] = list
+	}
+	return list
+}
+
+// selectRole returns the engines that only prefill, or the others, as enginesWithRole does.
+func (d *decision) selectRole(prefills bool) []*directory.Endpoint {
+	paused, anyUnreachable := d.p.loads.paused(d.now), d.p.zones.anyUnreachable(d.now)
+	all := make([]*directory.Endpoint, 0, len(d.endpoints))
 	for _, e := range d.endpoints {
-		if (e.Role == engine.Prefill) != (role == engine.Prefill) {
-			continue
+		if (e.Role == engine.Prefill) == prefills {
+			all = append(all, e)
 		}
-		all = append(all, e)
-		if d.pauseLeft(d.p.loads.get(e)) == 0 && (e.Zone == d.p.zone || !d.p.zones.unreachable(d.now, e.Zone)) {
+	}
+	if len(paused) == 0 && !anyUnreachable {
+		return all
+	}
+	var preferred []*directory.Endpoint
+	for _, e := range all {
+		if paused.get(e) == nil && (e.Zone == d.p.zone || !d.p.zones.unreachable(d.now, e.Zone)) {
 			preferred = append(preferred, e)
 		}
 	}
@@ -70,10 +91,10 @@
 	return min(limit, 1+int(reportIntervalPerChoice/interval))
 }
 
-// sample returns a random subset of the engines and the rate-limited ones among the others; it
-// reorders the slice. If every VM searched for the least loaded engine of all, VMs that decide at
+// sample returns a random subset of the engines and the rate-limited ones among the others. If every VM searched for the least loaded engine of all, VMs that decide at
 // the same time would choose the same one.
 func (d *decision) sample(engines []*directory.Endpoint) []*directory.Endpoint {
+	engines = slices.Clone(engines)
 	n := min(len(engines), d.numChoices())
 	for i := range n {
 		j := i + d.p.random.IntN(len(engines)-i)
--- a/placement/engineplan.go
+++ b/placement/engineplan.go
@@ -129,10 +129,8 @@
 		cached = tokens - soFar.uncached
 	}
 	var best option
-	for _, e := range engines {
-		if d.engineLoad(e).cache.cachedTokens(chunks) > cached {
-			best = earlier(best, d.predictPrefillEngine(e, chunks, tokens))
-		}
+	for _, e := range d.cacheHolders(engines, chunks, cached) {
+		best = earlier(best, d.predictPrefillEngine(e, chunks, tokens))
 	}
 	return best
 }
--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -111,6 +110,8 @@
 	working, refused map[*endpointLoad]bool
 	// down holds the tracked endpoints that were found down.
 	down map[*endpointLoad]bool
+	// caches lists the engines by the parts that they cache.
+	caches cacheIndex
 	// unregistered holds the IDs of tracked endpoints that were deregistered.
 	unregistered map[string]bool
 	peers        map[source]peerLoad
@@ -130,7 +131,7 @@
 const maxPendingPlaced = 256
 
 func newLoadTracker() *loadTracker {
-	return &loadTracker{byID: map[string]*endpointLoad{}, byHash: map[uint32]*endpointLoad{}, working: map[*endpointLoad]bool{}, refused: map[*endpointLoad]bool{}, down: map[*endpointLoad]bool{}, unregistered: map[string]bool{}, peers: map[source]peerLoad{}, peerWork: map[uint32]work{}, changing: map[uint32]time.Time{}}
+	return &loadTracker{byID: map[string]*endpointLoad{}, byHash: map[uint32]*endpointLoad{}, working: map[*endpointLoad]bool{}, refused: map[*endpointLoad]bool{}, down: map[*endpointLoad]bool{}, caches: cacheIndex{}, unregistered: map[string]bool{}, peers: map[source]peerLoad{}, peerWork: map[uint32]work{}, changing: map[uint32]time.Time{}}
 }
 
 // inFlight returns the work of all VMs at an endpoint.
@@ -167,6 +168,10 @@
 	delete(t.working, e)
 	delete(t.refused, e)
 	delete(t.down, e)
+	t.caches.removeAll(e)
+	if e.cache != nil {
+		e.cache.onAdd, e.cache.onEvict = nil, nil
+	}
 }
 
 // addLocal adds work of this VM to an endpoint, and subLocal removes it.
@@ -208,6 +213,10 @@
 	load := t.get(e)
 	if load.cache == nil {
 		load.cache = newCacheModel(kvTokens)
+		if t.byID[load.id] == load {
+			load.cache.onAdd = func(part uint32) { t.caches.add(part, load) }
+			load.cache.onEvict = func(part uint32) { t.caches.remove(part, load) }
+		}
 	}
 	return load
 }
@@ -327,14 +336,56 @@
 	return now.Before(t.changing[roleChangeID(t.get(e).hash, e.Role)])
 }
 
-// refusesPeers reports whether another VM lists the endpoint as refusing.
-func (t *loadTracker) refusesPeers(e *endpointLoad) bool {
+// loadSet is a set of tracked endpoints by ID. Decisions use it for the few endpoints in some state,
+// instead of looking up each of thousands.
+type loadSet map[string]*endpointLoad
+
+func (s loadSet) add(e *endpointLoad) { s[e.id] = e }
+
+// get returns the member of the set that tracks an endpoint, or nil.
+func (s loadSet) get(e *directory.Endpoint) *endpointLoad {
+	if len(s) == 0 {
+		return nil
+	}
+	if load := s[e.ID]; load != nil && load.startedAt == e.StartedAt {
+		return load
+	}
+	return nil
+}
+
+// refusingPeers returns the endpoints that another VM lists as refusing.
+func (t *loadTracker) refusingPeers() loadSet {
+	set := loadSet{}
 	for _, p := range t.peers {
-		if slices.Contains(p.refusing, e.hash) {
-			return true
+		for _, hash := range p.refusing {
+			if e := t.byHash[hash]; e != nil {
+				set.add(e)
+			}
+		}
+	}
+	return set
+}
+
+// paused returns the endpoints that are paused after a refusal.
+func (t *loadTracker) paused(now time.Time) loadSet {
+	set := loadSet{}
+	for e := range t.refused {
+		if now.Before(e.pausedUntil) {
+			set.add(e)
+		}
+	}
+	return set
+}
+
+// downNow returns the endpoints that were found down.
+func (t *loadTracker) downNow(now time.Time) loadSet {
+	set := loadSet{}
+	for e := range t.down {
+		if e.down(now) {
+			set.add(e)
 		}
 	}
-	return false
+	return set
 }
 
 // roleChanged clears the pause of an engine whose role has changed.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -209,16 +209,18 @@
 // that are down only as a last resort.
 func (d *decision) usable(excluded []string) []*directory.Endpoint {
 	p := d.p
-	var candidates, refusing, down []*directory.Endpoint
-	for _, e := range p.directory.Snapshot().Service(d.req.Service) {
-		load := p.loads.get(e)
+	isDown, refusingPeers, allHealthy := p.loads.downNow(d.now), p.loads.refusingPeers(), p.health.AllHealthy()
+	registered := p.directory.Snapshot().Service(d.req.Service)
+	candidates := make([]*directory.Endpoint, 0, len(registered))
+	var refusing, down []*directory.Endpoint
+	for _, e := range registered {
 		switch {
-		case slices.Contains(excluded, e.ID), !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
-		case load.down(d.now):
-			if d.now.Sub(load.downAt) >= downRetryInterval {
+		case slices.Contains(excluded, e.ID), !allHealthy && !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
+		case isDown.get(e) != nil:
+			if d.now.Sub(isDown.get(e).downAt) >= downRetryInterval {
 				down = append(down, e)
 			}
-		case p.loads.refusesPeers(load):
+		case refusingPeers.get(e) != nil:
 			refusing = append(refusing, e)
 		default:
 			candidates = append(candidates, e)
@@ -247,8 +249,10 @@
 	endpoints []*directory.Endpoint
 	// changing holds the IDs of the engines whose role change this VM has ordered.
 	changing []string
-	// holders is computed on first use.
-	holders *holders
+	// withRole holds the usable engines that only prefill, and the others. It and holders are computed
+	// on first use.
+	withRole map[bool][]*directory.Endpoint
+	holders  *holders
 	// rateLimited are the endpoints with a rate limit of which this VM may use a part. numBlocked
 	// is the number of endpoints that are blocked by their own signals, and unblockedAfter the time
 	// from now until the first of them is unblocked.
--- a/placement/reuse.go
+++ b/placement/reuse.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -51,23 +52,76 @@
 	return best
 }
 
-// findHolders searches the caches of all usable engines, once per decision.
+// findHolders searches the usable engines that cache any of the prompt, once per decision. Of engines
+// that cache equally much, those that prefill come first, then those with lower IDs.
 func (d *decision) findHolders(chunks []chunk) *holders {
 	if d.holders != nil {
 		return d.holders
 	}
 	h := &holders{byZone: map[string]holder{}}
-	for _, role := range []engine.Role{engine.Prefill, engine.Decode} {
-		for _, e := range d.enginesWithRole(role) {
-			found := holder{e, d.engineLoad(e).cache.copyableTokens(d.now, chunks)}
-			if found.tokens > h.byZone[e.Zone].tokens {
-				h.byZone[e.Zone] = found
-			}
-			if found.tokens > h.largest.tokens {
-				h.largest = found
-			}
+	// Who holds a later part usually holds all before it, so the search ends at the last part that is
+	// held in every zone.
+	for k := len(chunks) - 1; k >= 0 && !d.heldInAllZones(h, prefixLength(chunks[:k+1])); k-- {
+		for _, load := range d.p.loads.caches[chunks[k].id] {
+			h.consider(d, load, chunks)
+		}
+	}
+	for _, found := range h.byZone {
+		if h.largest.engine == nil || found.precedes(h.largest) {
+			h.largest = found
 		}
 	}
 	d.holders = h
 	return h
 }
+
+// heldInAllZones reports whether each zone with usable endpoints has a holder of that many tokens.
+func (d *decision) heldInAllZones(h *holders, tokens int) bool {
+	for zone := range d.p.directory.Snapshot().Zones() {
+		if h.byZone[zone].tokens < tokens {
+			return false
+		}
+	}
+	return true
+}
+
+// prefixLength returns the number of tokens of consecutive parts.
+func prefixLength(chunks []chunk) int {
+	n := 0
+	for _, c := range chunks {
+		n += c.tokens
+	}
+	return n
+}
+
+// consider records an engine as the holder of its zone if it caches more than the one found so far.
+func (h *holders) consider(d *decision, load *endpointLoad, chunks []chunk) {
+	e := d.p.directory.Snapshot().Endpoint(load.id)
+	if e == nil || e.StartedAt != load.startedAt {
+		return
+	}
+	found := holder{e, load.cache.copyableTokens(d.now, chunks)}
+	if soFar := h.byZone[e.Zone]; found.tokens == 0 || soFar.engine != nil && !found.precedes(soFar) {
+		return
+	}
+	if isIn(d.enginesWithRole(e.Role), e) {
+		h.byZone[e.Zone] = found
+	}
+}
+
+// precedes reports whether a holder is preferred to another one.
+func (h holder) precedes(o holder) bool {
+	if h.tokens != o.tokens {
+		return h.tokens > o.tokens
+	}
+	if prefills := h.engine.Role == engine.Prefill; prefills != (o.engine.Role == engine.Prefill) {
+		return prefills
+	}
+	return h.engine.ID < o.engine.ID
+}
+
+// isIn reports whether a list that is sorted by ID contains an endpoint.
+func isIn(list []*directory.Endpoint, e *directory.Endpoint) bool {
+	i, found := slices.BinarySearchFunc(list, e.ID, (*directory.Endpoint).CompareID)
+	return found && list[i].StartedAt == e.StartedAt
+}
--- a/placement/scale_test.go
+++ b/placement/scale_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +160,67 @@
 		}
 	})
 }
+
+// The holders of a prompt's prefix hold as much of it as those that a search of all engines finds.
+func TestHoldersAreFoundByIndex(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	f := newFixture(t)
+	f.addFleet(60)
+	ids := func() (list []chunk) {
+		for i, n := 0, 1+rng.IntN(3); i < n; i++ {
+			list = append(list, chunk{id: uint32(10*i + rng.IntN(4)), tokens: 100 * (i + 1)})
+		}
+		return list
+	}
+	for range 3000 {
+		e := f.dir.Snapshot().Endpoint(fmt.Sprint("e", rng.IntN(60)))
+		switch rng.IntN(40) {
+		case 0:
+			f.dir.Remove(e.ID)
+			f.dir.Put(e.Registration)
+		case 1:
+			f.restartEngine(e.ID, e.StartedAt+1, e.Role)
+		default:
+			load := f.planner.loads.getEngine(e, 700)
+			load.cache.insert(ids(), f.planner.now().Add(time.Duration(rng.IntN(2)-1)*time.Hour))
+		}
+		chunks := ids()
+		d := &decision{p: f.planner, req: f.longReq("s"), now: f.planner.now(), service: f.planner.config().Service("llm")}
+		d.endpoints = d.usable(nil)
+		want := holders{byZone: map[string]holder{}}
+		var beyond []string
+		tokens := rng.IntN(3) * 100
+		for _, role := range []engine.Role{engine.Prefill, engine.Decode} {
+			for _, e := range d.enginesWithRole(role) {
+				load := d.engineLoad(e)
+				found := holder{e, load.cache.copyableTokens(d.now, chunks)}
+				if found.tokens > want.byZone[e.Zone].tokens {
+					want.byZone[e.Zone] = found
+				}
+				if found.tokens > want.largest.tokens {
+					want.largest = found
+				}
+				if role == engine.Prefill && load.cache.cachedTokens(chunks) > tokens {
+					beyond = append(beyond, e.ID)
+				}
+			}
+		}
+		got := d.findHolders(chunks)
+		for zone, h := range got.byZone {
+			if h.engine.Zone != zone || d.engineLoad(h.engine).cache.copyableTokens(d.now, chunks) != h.tokens {
+				t.Fatalf("%s in %s is said to hold %d tokens", h.engine.ID, zone, h.tokens)
+			}
+		}
+		sameTokens := func(a, b holder) bool { return a.tokens == b.tokens }
+		if !sameTokens(got.largest, want.largest) || !maps.EqualFunc(got.byZone, want.byZone, sameTokens) {
+			t.Fatalf("holders %v of %v, want as many tokens as %v of %v", got.largest, got.byZone, want.largest, want.byZone)
+		}
+		var listed []string
+		for _, e := range d.cacheHolders(d.enginesWithRole(engine.Prefill), chunks, tokens) {
+			listed = append(listed, e.ID)
+		}
+		if !slices.Equal(listed, beyond) {
+			t.Fatalf("%v cache more than %d tokens, want %v", listed, tokens, beyond)
+		}
+	}
+}
--- a/placement/zonemonitor.go
+++ b/placement/zonemonitor.go
@@ -58,6 +58,16 @@
 	return true
 }
 
+// anyUnreachable reports whether any zone is considered unreachable.
+func (z *zoneMonitor) anyUnreachable(now time.Time) bool {
+	for zone := range z.zones {
+		if z.unreachable(now, zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // unreachable reports whether the zone is considered unreachable.
 func (z *zoneMonitor) unreachable(now time.Time, zone string) bool {
 	s := z.zones[zone]
