feedshare: starting VMs wait for a reader that is still reading

Cause: a VM asked by another one for a table it had not read yet refused after 0.3 s.

Change: a VM that has started and is still reading says so, apart from one that cannot reach the store. Who asks it waits up to three seconds for it. A transfer is bounded by the time without progress, since all VMs of a zone share the reader's link when they start. A list is encoded once for all VMs that ask, not for each: 200 responses of some megabytes were in the readers' memory at a time.

Readers that reach no store hold nobody up for longer (TestStartingVMsDoNotWaitForLostReader).

--- a/feedshare/cache.go
+++ b/feedshare/cache.go
@@ -37,6 +37,8 @@
 	confirmed time.Time
 	// changed is closed and replaced at every change of the fields above.
 	changed chan struct{}
+	// encoded is the response to a query for the whole table; nil if none was encoded since rows changed.
+	encoded []byte
 	// lastQueried is the time of the last query by a peer.
 	lastQueried time.Time
 }
@@ -69,6 +71,7 @@
 		c.rows[row.Key.Row] = row
 	}
 	c.history, c.historyStart, c.version = nil, version, version
+	c.encoded = nil
 	c.setConfirmed(confirmedAt)
 }
 
@@ -85,6 +88,7 @@
 	}
 	c.version = max(c.version, after, next)
 	if len(changes) > 0 {
+		c.encoded = nil
 		c.history = append(c.history, batch{changes: changes, version: c.version})
 	}
 	if excess := len(c.history) - maxHistoryBatches; excess > 0 {
@@ -120,21 +124,49 @@
 func (c *cache) fresh() bool { return c.confirmed != unconfirmed && clock.Since(c.confirmed) <= c.ttl }
 
 // list returns the whole table. Before the first read from the store it waits up to startupWait.
-func (c *cache) list(ctx context.Context, name string) ([]table.Row, table.Version, error) {
+func (c *cache) list(ctx context.Context, name string) (rows []table.Row, version table.Version, err error) {
+	err = c.whenFresh(ctx, name, func() {
+		rows, version = slices.Collect(maps.Values(c.rows)), c.version
+	})
+	return rows, version, err
+}
+
+// encodedList returns the response to a query for the whole table. All queries share one copy: when a
+// fleet starts, hundreds of VMs ask within a second.
+func (c *cache) encodedList(ctx context.Context, name string) (encoded []byte, err error) {
+	var encodeErr error
+	err = c.whenFresh(ctx, name, func() {
+		if c.encoded == nil {
+			c.encoded, encodeErr = encodeList(c.rows, c.version)
+		}
+		encoded = c.encoded
+	})
+	if err != nil {
+		return nil, err
+	}
+	return encoded, encodeErr
+}
+
+// whenFresh calls f, with mu held, while the table may be served. Before the first read from the store it
+// waits up to startupWait. The error is *NotReaderError or *NotReadYetError.
+func (c *cache) whenFresh(ctx context.Context, name string, f func()) error {
 	ctx, cancel := clock.WithTimeout(ctx, startupWait)
 	defer cancel()
 	for {
 		c.mu.Lock()
 		c.lastQueried = clock.Now()
 		if c.fresh() {
-			rows, version := slices.Collect(maps.Values(c.rows)), c.version
+			f()
 			c.mu.Unlock()
-			return rows, version, nil
+			return nil
 		}
 		changed, hasData := c.changed, c.version != 0
 		c.mu.Unlock()
-		if hasData || !waitForChange(ctx, changed) {
-			return nil, 0, &NotReaderError{Table: name}
+		switch {
+		case hasData:
+			return &NotReaderError{Table: name}
+		case !waitForChange(ctx, changed):
+			return &NotReadYetError{Table: name}
 		}
 	}
 }
--- a/feedshare/client.go
+++ b/feedshare/client.go
@@ -12,11 +12,12 @@
 	"github.com/springweir/springweir/feedshare/feedpb"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/network"
+	"github.com/springweir/springweir/internal/watchdog"
 	"github.com/springweir/springweir/table"
 )
 
 // Peers reads tables from other VMs. Its errors are *NotReaderError, *BehindError,
-// *UnreachableError and, from Changes, *table.HistoryGoneError.
+// *UnreachableError, from List *NotReadYetError and, from Changes, *table.HistoryGoneError.
 type Peers interface {
 	List(ctx context.Context, address, name string) ([]table.Row, table.Version, error)
 	Changes(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error)
@@ -39,7 +40,9 @@
 
 // NewClient returns a client for all VMs that are reachable over n.
 func NewClient(n network.Network) *Client {
-	return &Client{http: n.HTTPClient(connectTimeout, peerIdleTimeout), byAddress: map[string]feedpb.Feed{}}
+	client := n.HTTPClient(connectTimeout, peerIdleTimeout)
+	client.Transport = &progressTransport{client.Transport}
+	return &Client{http: client, byAddress: map[string]feedpb.Feed{}}
 }
 
 func (c *Client) feed(address string) feedpb.Feed {
@@ -55,6 +58,9 @@
 
 // List implements Peers.
 func (c *Client) List(ctx context.Context, address, name string) ([]table.Row, table.Version, error) {
+	ctx, dog := watchdog.New(ctx, listTimeout)
+	defer dog.Stop()
+	ctx = withProgress(ctx, func() { dog.Reset(listTimeout) })
 	response, err := c.feed(address).List(ctx, &feedpb.ListRequest{Table: name})
 	if err != nil {
 		return nil, 0, errorFromTwirp(address, name, 0, err)
@@ -101,6 +107,8 @@
 		switch twirpErr.Code() {
 		case twirp.FailedPrecondition:
 			return &NotReaderError{Table: name}
+		case twirp.Unavailable:
+			return &NotReadYetError{Table: name}
 		case twirp.OutOfRange:
 			return &table.HistoryGoneError{Table: name, After: after}
 		case twirp.Aborted:
--- a/feedshare/errors.go
+++ b/feedshare/errors.go
@@ -19,6 +19,17 @@
 // Reason implements failure.Coded.
 func (e *NotReaderError) Reason() failure.Reason { return failure.FeedNotReader }
 
+// NotReadYetError is returned by a VM that has just started and is still reading the table.
+type NotReadYetError struct{ Table string }
+
+// Error implements error.
+func (e *NotReadYetError) Error() string {
+	return fmt.Sprintf("table %s is still being read", e.Table)
+}
+
+// Reason implements failure.Coded.
+func (e *NotReadYetError) Reason() failure.Reason { return failure.FeedNotReader }
+
 // BehindError reports that the peer's Version of the table is older than the Local one.
 type BehindError struct{ Version, Local table.Version }
 
--- a/feedshare/feedpb/feed.twirp.go
+++ b/feedshare/feedpb/feed.twirp.go
@@ -36,7 +36,7 @@
 	//
 	// Errors, also of Changes: failed_precondition when this VM doesn't read the table from
 	// the store itself, or the store's last response is too old. The client should then
-	// query another source.
+	// query another source. unavailable when this VM has started and is still reading the table.
 	List(context.Context, *ListRequest) (*ListResponse, error)
 
 	// Changes returns the rows that changed after a version, in order, as soon as there
--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -24,9 +24,10 @@
 	// connectTimeout bounds opening a connection to another VM. A VM without power doesn't refuse
 	// the connection, and the store is read only after the timeout.
 	connectTimeout = 300 * time.Millisecond
-	// listTimeout bounds reading a whole table from another VM: three thousand endpoints are
-	// under a megabyte, which takes 0.4 s over a VM's link of 20 Mbit/s.
+	// listTimeout bounds the time without progress while a whole table is read from another VM, and
+	// maxListTime all of it: many VMs share that VM's link when they start together.
 	listTimeout = 1500 * time.Millisecond
+	maxListTime = 10 * time.Second
 	// PositionInterval is how often a VM that waits for a peer's response checks whether that
 	// peer still precedes it.
 	PositionInterval = 100 * time.Millisecond
@@ -50,6 +51,9 @@
 	// startupWait is how long a query by a peer waits for this VM's first response from the store
 	// before it is refused. After a power failure all VMs start within 300 ms.
 	startupWait = 300 * time.Millisecond
+	// startupPatience is how long a VM that starts waits for one that is still reading the table. Reading
+	// some ten thousand rows from the store takes a second while all VMs of a fleet start.
+	startupPatience = 3 * time.Second
 	// maxHistoryBatches is the number of responses with changes that are kept for each table. A
 	// peer that is further behind reads the whole table again.
 	maxHistoryBatches = 256
--- a/feedshare/follow_test.go
+++ b/feedshare/follow_test.go
@@ -184,6 +184,41 @@
 	})
 }
 
+// Guards against every VM reading a large table from the store when a fleet starts, because the first
+// of its zone takes longer to read it than a query waits.
+func TestStartingVMsWaitForReaderOfLargeTable(t *testing.T) {
+	z := &zone{settings: Settings{PropagationLimit: propagationLimit, CoalesceInterval: propagationLimit / 3}, zones: 3, storeDelay: time.Second}
+	runZones(t, z, 90, func(z *zone) {
+		z.put("a", "1")
+		time.Sleep(2 * time.Second)
+		if n := z.callCount(); n > 2*z.zones {
+			t.Errorf("90 VMs sent %d queries to the store in the first 2 s, want at most %d", n, 2*z.zones)
+		}
+		for _, v := range z.vms {
+			if v.value("a") != "1" {
+				t.Errorf("VM %d has not read the table", v.index)
+			}
+		}
+	})
+}
+
+// A VM that starts does not wait for a reader whose store does not respond for longer than
+// startupPatience.
+func TestStartingVMsDoNotWaitForLostReader(t *testing.T) {
+	z := &zone{settings: Settings{PropagationLimit: propagationLimit, CoalesceInterval: propagationLimit / 3}, zones: 1}
+	runZones(t, z, 4, func(z *zone) {
+		z.put("a", "1")
+		z.vms[0].setFault(storeHangs)
+		z.vms[1].setFault(storeHangs)
+		time.Sleep(startupPatience + listTimeout + 2*time.Second)
+		for _, v := range z.vms[2:] {
+			if v.value("a") != "1" {
+				t.Errorf("VM %d has not read the table", v.index)
+			}
+		}
+	})
+}
+
 // A VM doesn't serve rows that it received from another VM; only responses of the store may be
 // served.
 func TestRelayedRowsAreNotServed(t *testing.T) {
--- a/feedshare/server.go
+++ b/feedshare/server.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/feedshare/feedpb"
 	"github.com/springweir/springweir/internal/clock"
@@ -25,31 +29,79 @@
 	for _, source := range sources {
 		s.sources[source.table] = source
 	}
-	return feedpb.NewFeedServer(s)
+	mux := http.NewServeMux()
+	mux.Handle("/", feedpb.NewFeedServer(s))
+	mux.HandleFunc("POST "+feedpb.FeedPathPrefix+"List", s.serveList)
+	return mux
 }
 
-// List implements feedpb.Feed.
-func (s *server) List(ctx context.Context, r *feedpb.ListRequest) (*feedpb.ListResponse, error) {
-	source := s.sources[r.Table]
+// maxListRequest bounds the size of a query for a whole table, in bytes.
+const maxListRequest = 4096
+
+// serveList serves List as the twirp server would, with a response that is encoded once for all.
+func (s *server) serveList(w http.ResponseWriter, r *http.Request) {
+	var request feedpb.ListRequest
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxListRequest))
+	if err == nil {
+		err = proto.Unmarshal(body, &request)
+	}
+	if err != nil {
+		writeError(w, twirp.NewError(twirp.Malformed, err.Error()))
+		return
+	}
+	source := s.sources[request.Table]
 	if source == nil {
-		return nil, twirp.NotFoundError("no such table: " + r.Table)
+		writeError(w, noSuchTable(request.Table))
+		return
 	}
-	rows, version, err := source.cache.list(ctx, r.Table)
+	encoded, err := source.cache.encodedList(r.Context(), request.Table)
 	if err != nil {
-		return nil, twirpError(err)
+		writeError(w, twirpError(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/protobuf")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	if _, err := w.Write(encoded); err != nil {
+		klog.V(1).InfoS("feedshare: the VM that asked for a table has gone", "table", request.Table, "err", err)
+	}
+}
+
+func writeError(w http.ResponseWriter, err twirp.Error) {
+	if writeErr := twirp.WriteError(w, err); writeErr != nil {
+		klog.V(1).InfoS("feedshare: the VM that asked has gone", "err", writeErr)
 	}
+}
+
+func noSuchTable(name string) twirp.Error { return twirp.NotFoundError("no such table: " + name) }
+
+// encodeList encodes the response to a query for a whole table.
+func encodeList(rows map[string]table.Row, version table.Version) ([]byte, error) {
 	response := &feedpb.ListResponse{Version: uint64(version)}
 	for _, row := range rows {
 		response.Rows = append(response.Rows, rowToProto(row))
 	}
-	return response, nil
+	return proto.Marshal(response)
+}
+
+// List implements feedpb.Feed for clients of other encodings; see serveList.
+func (s *server) List(ctx context.Context, r *feedpb.ListRequest) (*feedpb.ListResponse, error) {
+	source := s.sources[r.Table]
+	if source == nil {
+		return nil, noSuchTable(r.Table)
+	}
+	encoded, err := source.cache.encodedList(ctx, r.Table)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	response := &feedpb.ListResponse{}
+	return response, proto.Unmarshal(encoded, response)
 }
 
 // Changes implements feedpb.Feed.
 func (s *server) Changes(ctx context.Context, r *feedpb.ChangesRequest) (*feedpb.ChangesResponse, error) {
 	source := s.sources[r.Table]
 	if source == nil {
-		return nil, twirp.NotFoundError("no such table: " + r.Table)
+		return nil, noSuchTable(r.Table)
 	}
 	ctx, cancel := clock.WithTimeout(ctx, min(time.Duration(r.WaitMs)*time.Millisecond, maxQueryWait))
 	defer cancel()
@@ -78,10 +130,13 @@
 }
 
 // twirpError converts an error to the twirp code that feed.proto documents for it.
-func twirpError(err error) error {
+func twirpError(err error) twirp.Error {
 	var historyGone *table.HistoryGoneError
 	var behind *BehindError
+	var notReadYet *NotReadYetError
 	switch {
+	case errors.As(err, &notReadYet):
+		return twirp.NewError(twirp.Unavailable, err.Error())
 	case errors.As(err, &historyGone):
 		return twirp.NewError(twirp.OutOfRange, err.Error())
 	case errors.As(err, &behind):
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -30,21 +30,15 @@
 
 // List implements table.Feed.
 func (s *Source) List(ctx context.Context, name string) ([]table.Row, table.Version, error) {
-	for _, address := range s.available(s.position().PrecedingPeers) {
-		ctx, cancel := s.whilePreceding(ctx, address, listTimeout)
-		rows, version, err := s.listFromPeer(ctx, address, name)
-		cancel()
-		if err == nil {
-			return rows, version, nil
-		}
-		s.handlePeerError(address, err)
+	if rows, version, err := s.listFromPreceding(ctx, name); err == nil {
+		return rows, version, nil
 	}
 	rows, version, err := s.listFromStore(ctx, name)
 	if err == nil {
 		return rows, version, nil
 	}
 	for _, address := range s.available(s.position().PeersOutsideZone) {
-		ctx, cancel := clock.WithTimeout(ctx, listTimeout)
+		ctx, cancel := clock.WithTimeout(ctx, maxListTime)
 		rows, version, peerErr := s.listFromPeer(ctx, address, name)
 		cancel()
 		if peerErr == nil {
@@ -55,6 +49,46 @@
 	return nil, 0, err
 }
 
+// listFromPreceding reads the table from a VM that precedes this one. While the first of them is itself
+// still reading it, as when many VMs start together, it waits up to startupPatience. Otherwise all of
+// them would read a large table from the store at once.
+func (s *Source) listFromPreceding(ctx context.Context, name string) ([]table.Row, table.Version, error) {
+	deadline := clock.Now().Add(startupPatience)
+	for {
+		rows, version, err := s.listFromFirstOf(ctx, s.available(s.position().PrecedingPeers), name)
+		if !isNotReadYet(err) || !clock.Now().Before(deadline) || !loop.Sleep(ctx, PositionInterval) {
+			return rows, version, err
+		}
+	}
+}
+
+// listFromFirstOf reads the table from the first of several VMs that has it, up to one that is still
+// reading it.
+func (s *Source) listFromFirstOf(ctx context.Context, addresses []string, name string) ([]table.Row, table.Version, error) {
+	var err error = &NotReaderError{Table: name}
+	for _, address := range addresses {
+		var rows []table.Row
+		var version table.Version
+		peerCtx, cancel := s.whilePreceding(ctx, address, maxListTime)
+		rows, version, err = s.listFromPeer(peerCtx, address, name)
+		cancel()
+		if err == nil {
+			return rows, version, nil
+		}
+		if isNotReadYet(err) {
+			s.recordPeerError(address, err)
+			break
+		}
+		s.handlePeerError(address, err)
+	}
+	return nil, 0, err
+}
+
+func isNotReadYet(err error) bool {
+	var notReadYet *NotReadYetError
+	return errors.As(err, &notReadYet)
+}
+
 // listFromPeer reads the table from another VM.
 func (s *Source) listFromPeer(ctx context.Context, address, name string) ([]table.Row, table.Version, error) {
 	rows, version, err := s.peers.List(ctx, address, name)
