feedshare: look for readers of other zones only when they are needed

Cause: a VM looks up its position among the readers some 40 times a second, to notice one that fell silent. Each time it also searched the VMs of all other zones, from which a member hears nothing.

Change: that search is made when the reader and the store have failed.

--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -82,9 +82,10 @@
 	First bool
 	// Rank is this VM's position among those of the region, from 0.
 	Rank int
-	// PeersOutsideZone are the addresses of VMs in other zones, queried when both the preceding
-	// peers and the store fail: the store may be unreachable from this VM or its zone only.
-	PeersOutsideZone []string
+	// PeersOutsideZone returns the addresses of VMs in other zones, queried when both the preceding
+	// peers and the store fail: the store may be unreachable from this VM or its zone only. Finding
+	// them takes a look at all VMs, and the position is looked up many times a second.
+	PeersOutsideZone func() []string
 }
 
 // Source follows one table, either at the store or at a VM that reads from the store. It
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -37,7 +37,7 @@
 	if err == nil {
 		return rows, version, nil
 	}
-	for _, address := range s.available(s.position().PeersOutsideZone) {
+	for _, address := range s.available(s.position().PeersOutsideZone()) {
 		ctx, cancel := clock.WithTimeout(ctx, maxListTime)
 		rows, version, peerErr := s.listFromPeer(ctx, address, name)
 		cancel()
@@ -135,7 +135,7 @@
 	if err == nil || isHistoryGone(err) {
 		return changes, next, err
 	}
-	for _, address := range s.available(s.position().PeersOutsideZone) {
+	for _, address := range s.available(s.position().PeersOutsideZone()) {
 		peerCtx, cancel := clock.WithTimeout(ctx, shortWait+peerResponseMargin)
 		changes, next, peerErr := s.changesFromPeer(peerCtx, address, name, after, shortWait)
 		cancel()
--- a/feedshare/zonesim_test.go
+++ b/feedshare/zonesim_test.go
@@ -121,7 +121,7 @@
 func (v *vm) position() Position {
 	z := v.zone
 	if time.Since(z.startedAt) < z.headStart {
-		return Position{}
+		return Position{PeersOutsideZone: func() []string { return nil }}
 	}
 	var preceding []string
 	first := true
@@ -140,7 +140,7 @@
 			outsideZone = append(outsideZone, fmt.Sprint(i))
 		}
 	}
-	return Position{PrecedingPeers: preceding, First: first, Rank: v.index, PeersOutsideZone: outsideZone}
+	return Position{PrecedingPeers: preceding, First: first, Rank: v.index, PeersOutsideZone: func() []string { return outsideZone }}
 }
 
 // unresponsiveFor returns how long the VM has been unresponsive.
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -50,10 +50,17 @@
 		position.PrecedingPeers = append(position.PrecedingPeers, p.Address.String())
 	}
 	position.First, position.Rank = g.exchange.IsCollector(), g.exchange.Rank()
+	position.PeersOutsideZone = g.readersOutsideZone
+	return position
+}
+
+// readersOutsideZone returns the addresses of the VMs of other zones that this VM may query.
+func (g *Gateway) readersOutsideZone() []string {
+	var addresses []string
 	for _, p := range g.exchange.PeersOutsideZone(maxOutsideReaders) {
-		position.PeersOutsideZone = append(position.PeersOutsideZone, p.Address.String())
+		addresses = append(addresses, p.Address.String())
 	}
-	return position
+	return addresses
 }
 
 // awaitPeers waits up to peerListTimeout for the list of the other VMs.
