--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -91,8 +91,9 @@
 	return min(limit, 1+int(reportIntervalPerChoice/interval))
 }
 
-// sample returns a random subset of the engines and the rate-limited ones among the others. If every VM searched for the least loaded engine of all, VMs that decide at
-// the same time would choose the same one.
+// sample returns a random subset of the engines and the rate-limited ones among the others. If every
+// VM searched for the least loaded engine of all, VMs that decide at the same time would choose the
+// same one.
 func (d *decision) sample(engines []*directory.Endpoint) []*directory.Endpoint {
 	engines = slices.Clone(engines)
 	n := min(len(engines), d.numChoices())
