gateway: a starting VM asks a bounded number of engines for their caches

Cause: a VM that starts asked every engine of its zone what it holds. With 1,927 engines and 197 VMs in a zone these are 1.9 million queries and connections when a fleet starts, and as many goroutines in each VM as its zone has engines. That grows with the product of VMs and engines.

Change: 32 engines at most, at random, so that VMs that start together ask different ones and share the answers.

--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -25,6 +25,9 @@
 	// cacheQueryJitter spreads the queries of the VMs of a zone that start together: the first
 	// response reaches the other VMs within some ten milliseconds.
 	cacheQueryJitter = 200 * time.Millisecond
+	// maxCacheQueries is the number of engines that a starting VM queries. Without a bound, the queries
+	// grow with the product of VMs and engines when a fleet starts, and each opens a connection.
+	maxCacheQueries = 32
 	// configPollInterval is how often to check for the first configuration, which arrives from the
 	// same store at about the same time.
 	configPollInterval = 10 * time.Millisecond
@@ -35,13 +38,19 @@
 // seconds after all VMs returned from a power loss, 0.44 of the requests were served in time
 // without it and 0.52 with it (three power losses).
 //
-// Each VM queries the engines of its own zone and shares the result with the other VMs.
+// Each VM queries engines of its own zone and shares the result with the other VMs. In a large zone
+// these are a random part, so that VMs that start together query different ones.
 func (g *Gateway) queryCaches(ctx context.Context) {
+	var engines []*directory.Endpoint
 	for _, e := range g.directory.Snapshot().All() {
 		if e.Role != "" && e.Zone == g.settings.Zone {
-			go g.queryCache(ctx, e)
+			engines = append(engines, e)
 		}
 	}
+	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+	for _, e := range engines[:min(len(engines), maxCacheQueries)] {
+		go g.queryCache(ctx, e)
+	}
 }
 
 // hasConfiguredEngine reports whether the configuration has an engine for an endpoint's service. A
