--- a/placement/planner.go
+++ b/placement/planner.go
@@ -249,8 +249,8 @@
 	endpoints []*directory.Endpoint
 	// changing holds the IDs of the engines whose role change this VM has ordered.
 	changing []string
-	// withRole holds the usable engines that only prefill, and the others. It and holders are computed
-	// on first use.
+	// withRole holds the usable engines that only prefill (true), and the others (false). It and holders
+	// are computed on first use.
 	withRole map[bool][]*directory.Endpoint
 	holders  *holders
 	// rateLimited are the endpoints with a rate limit of which this VM may use a part. numBlocked
--- a/poison/copies.go
+++ b/poison/copies.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// smallGroup is the number of endpoints up to which copies of a suspect matter that run when the
-	// first endpoint crashes: such a request may crash three, and its copies as many again.
+	// smallGroup is the size of a group of endpoints up to which the copies of a suspect are looked for:
+	// the suspect may crash three endpoints before it is quarantined, and its copies as many again.
 	smallGroup = 2 * quarantineThreshold
 	// copyRetention is how long a copy is assumed to run after it was reported. A harmful request
 	// usually crashes its endpoint as it begins.
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -32,8 +32,7 @@
 	Crashes int
 	// Key identifies the request across its repetitions. It is zero if Crashes is.
 	Key uint32
-	// CopiesOn holds the IDs of the endpoints on which copies of the request are running, as far as
-	// it is known.
+	// CopiesOn holds the IDs of the endpoints on which copies of the request are known to be running.
 	CopiesOn []string
 }
 
