relay: log why a request has no plan for another attempt

A stream that was cut reported the failure of its last attempt; the refusal of the plan for the next one was dropped, so the logs could not tell a missing plan from a lost attempt. No behaviour changes.

--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -117,6 +117,8 @@
 // attempt if there was one, because it is more informative than a missing plan.
 func (j *job) planFailure(failed *failure.Request) *failure.Request {
 	if j.lastFailure != nil {
+		klog.InfoS("relay: no plan for another attempt", "request", j.req.ID, "attempts", j.result.Attempts, "begun", j.result.HeadSent,
+			"reason", failed.Code, "cause", failed.Message, "lastReason", j.lastFailure.Code)
 		return j.lastFailure
 	}
 	return failed
