relay: give up a silent attempt only in favour of another one

Callers saw resumable streams cut off in the middle, 0.4 to 0.9 s after they were sent and with seconds left, when engines passed on nothing for a second or so, often beside a change of the configuration.

Cause: the relay cancelled an attempt that had sent nothing for the gap timeout, and only then asked for a plan, a retry from the budget and an engine that accepts it. Each of the three can be refused. With all engines silent every stream asked at once. The class: a working resource is released before its replacement has been acquired.

Change: a silent stream is held while its replacement is tried and goes on unless the replacement sends an event; once the caller has bytes, the replacement must have been heard from during the silence. Before a response has begun, an attempt or a prefill is abandoned only if a plan and a retry are available.

Ruled out: timeouts of a changed configuration (those of requests under way stay), idle times (not applied to connections), ejections (no cut has one). Kernel timers: not seen below two seconds.

--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 )
 
 // StalledError is the cause with which a Watchdog cancels its context.
@@ -22,9 +24,14 @@
 
 // Watchdog cancels the context of an attempt whose target is unresponsive, so that a
 // frozen endpoint that still accepts connections does not block the caller.
+//
+// mu guards paused. It is held while the condition of a conditional watchdog is evaluated.
 type Watchdog struct {
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+
+	mu     sync.Mutex
+	paused bool
 }
 
 // New returns a context that ends with ctx or after limit without a Reset. A limit
@@ -38,19 +45,55 @@
 	return ctx, d
 }
 
+// NewConditional returns a watchdog that, once limit has passed, evaluates condition every interval
+// and cancels the context when it holds.
+func NewConditional(ctx context.Context, limit, interval time.Duration, condition func() bool) (context.Context, *Watchdog) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	d := &Watchdog{cancel: cancel}
+	if limit <= 0 {
+		return ctx, d
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	start := clock.Now()
+	d.timer = time.AfterFunc(limit, func() { d.check(start, interval, condition) })
+	return ctx, d
+}
+
+// check cancels the context if condition holds, and otherwise checks again after interval.
+func (d *Watchdog) check(start time.Time, interval time.Duration, condition func() bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.paused:
+	case condition():
+		d.cancel(&StalledError{Limit: clock.Since(start)})
+	default:
+		d.timer.Reset(interval)
+	}
+}
+
 // Reset records activity and restarts the timer with limit. It has no effect on a
 // watchdog without a limit.
 func (d *Watchdog) Reset(limit time.Duration) {
-	if d.timer != nil {
-		d.timer.Reset(limit)
+	if d.timer == nil {
+		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = false
+	d.timer.Reset(limit)
 }
 
 // Pause stops the timer until the next Reset.
 func (d *Watchdog) Pause() {
-	if d.timer != nil {
-		d.timer.Stop()
+	if d.timer == nil {
+		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused = true
+	d.timer.Stop()
 }
 
 // Stop ends the context and releases the timer.
--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -47,8 +48,17 @@
 	// pausedUntil is the end of the pause after a refusal, and refusals counts consecutive ones.
 	pausedUntil time.Time
 	refusals    int
+	// heardAt is when the endpoint last sent this VM a response or an event, in Unix nanoseconds.
+	heardAt atomic.Int64
 }
 
+// recordHeard records that the endpoint has sent something. It takes no lock, since each event of a
+// stream calls it.
+func (e *endpointLoad) recordHeard(now time.Time) { e.heardAt.Store(now.UnixNano()) }
+
+// heardSince reports whether the endpoint has sent something after a time.
+func (e *endpointLoad) heardSince(t time.Time) bool { return e.heardAt.Load() > t.UnixNano() }
+
 const (
 	// minPause is the pause after a first refusal. It doubles with each consecutive one, up to
 	// maxPause: a full endpoint may have capacity soon, one that changes its role refuses for
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -173,13 +173,11 @@
 
 // Plan implements relay.Planner.
 func (p *Planner) Plan(r *relay.Request, prior relay.AttemptState) (relay.Plan, *failure.Request) {
-	config := p.config()
-	service := config.Service(r.Service)
 	changing := p.roleChanges() // takes a lock of its own, so it is not called under mu
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for attempt := 1; ; attempt++ {
-		d := &decision{p: p, req: r, prior: prior, now: p.now(), service: service, changing: changing, suspect: suspectOf(prior)}
+		d := p.newDecision(r, prior, changing)
 		plan, failed := d.plan(slices.Concat(changing, prior.Tried))
 		if failed == nil || !d.permitLost || attempt == maxPlanAttempts {
 			return plan, failed
@@ -187,6 +185,21 @@
 	}
 }
 
+// Available implements relay.Planner.
+func (p *Planner) Available(r *relay.Request, prior relay.AttemptState) bool {
+	changing := p.roleChanges()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.newDecision(r, prior, changing)
+	return len(d.usable(slices.Concat(changing, prior.Tried))) > 0
+}
+
+// newDecision returns a decision on the current state. The caller holds mu.
+func (p *Planner) newDecision(r *relay.Request, prior relay.AttemptState, changing []string) *decision {
+	service := p.config().Service(r.Service)
+	return &decision{p: p, req: r, prior: prior, now: p.now(), service: service, changing: changing, suspect: suspectOf(prior)}
+}
+
 // maxPlanAttempts bounds the decisions for one plan. A decision is repeated when a concurrent
 // request acquired the permit that it relied on.
 const maxPlanAttempts = 3
@@ -215,7 +228,7 @@
 	var refusing, down []*directory.Endpoint
 	for _, e := range registered {
 		switch {
-		case slices.Contains(excluded, e.ID), !allHealthy && !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
+		case slices.Contains(excluded, e.ID), d.isUnheard(e), !allHealthy && !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
 		case isDown.get(e) != nil:
 			if d.now.Sub(isDown.get(e).downAt) >= downRetryInterval {
 				down = append(down, e)
@@ -234,6 +247,11 @@
 	return nil
 }
 
+// isUnheard reports whether an endpoint has sent nothing since the time that the request requires.
+func (d *decision) isUnheard(e *directory.Endpoint) bool {
+	return !d.prior.HeardSince.IsZero() && !d.p.loads.get(e).heardSince(d.prior.HeardSince)
+}
+
 func noEndpoint(message string, retryAfter time.Duration) *failure.Request {
 	return &failure.Request{Code: failure.NoEndpoint, Ran: failure.NotRun, RetryAfter: retryAfter, Message: message}
 }
--- a/relay/config.go
+++ b/relay/config.go
@@ -49,6 +49,8 @@
 type Budget interface {
 	// First records the first attempt of a request.
 	First()
+	// Available reports whether a retry is available.
+	Available() bool
 	// Take consumes one retry and reports whether one was available.
 	Take() bool
 }
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -21,7 +21,7 @@
 // lost counts too, because it is unknown whether the engine had accepted the prompt.
 func (j *job) prefill(ctx context.Context, plan Plan, a *Attempt) *failure.Request {
 	j.result.Endpoint = plan.Prefill.ID
-	prefillCtx, dog := watchdog.New(ctx, j.prefillTimeout(plan))
+	prefillCtx, dog := watchdog.NewConditional(ctx, j.prefillTimeout(plan), silenceCheckInterval, j.replaceable(plan.Prefill.ID))
 	defer dog.Stop()
 	prefillAttempt, start := *a, clock.Now()
 	prefillAttempt.Endpoint, prefillAttempt.CopyFrom = plan.Prefill, plan.CopyFrom
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,6 +83,10 @@
 	// which the next attempt resumes, or is nil.
 	backup       *directory.Endpoint
 	resumeHandle *KVHandle
+	// current is the stream of the current attempt, or nil. held is a silent stream that is kept
+	// while replacement, the plan of another attempt, is tried.
+	current, held *openStream
+	replacement   Plan
 	// fallback is the complete error response of an endpoint, kept while the request is retried on
 	// another one.
 	fallback *bufferedResponse
@@ -99,6 +103,9 @@
 			return
 		}
 		failed = j.attempt(ctx, plan)
+		for j.held != nil {
+			failed = j.replaceHeld(ctx)
+		}
 		if failed == nil {
 			return
 		}
@@ -152,6 +159,7 @@
 		if failed == nil {
 			j.recordSend()
 			j.relay.cfg.Guard.Started(j.req, plan.Serve)
+			j.limitOverlap()
 		}
 		return failed
 	}
@@ -180,22 +188,49 @@
 		j.reportEnd(ctx, plan.Serve, j.withdrawn)
 		return j.withdrawn
 	}
+	if j.current != nil {
+		return j.endStream(ctx, j.current, failed)
+	}
+	j.endAttempt(ctx, plan, failed)
+	j.countEnd(failed, j.resumeHandle != nil)
+	j.resumeHandle = nil
+	return failed
+}
+
+// endStream ends the attempt of a stream, unless the stream is held.
+func (j *job) endStream(ctx context.Context, s *openStream, failed *failure.Request) *failure.Request {
+	if !s.counted {
+		s.counted = true
+		j.countEnd(failed, s.resumesRun)
+	}
+	if j.held == s {
+		return failed
+	}
+	j.resumeHandle = nil
+	j.endAttempt(ctx, s.plan, failed)
+	return failed
+}
+
+// countEnd counts an attempt, which resumed a run on its backup or not.
+func (j *job) countEnd(failed *failure.Request, resumesRun bool) {
+	if resumesRun {
+		j.countResume(failed)
+		return
+	}
+	j.countAttempt(failed)
+}
+
+// endAttempt reports the end of an attempt.
+func (j *job) endAttempt(ctx context.Context, plan Plan, failed *failure.Request) {
 	plan.Watch.Finished(failed, isAbandoned(ctx, failed))
 	j.reportEnd(ctx, plan.Serve, failed)
 	j.backup = plan.Backup
-	if j.resumeHandle != nil {
-		j.countResume(failed)
-		j.resumeHandle = nil
-	} else {
-		j.countAttempt(failed)
-	}
 	if failed != nil {
 		j.recordTried(plan.Serve, failed)
 	}
 	if failed == nil || failed.Ran != failure.NotRun {
 		j.handle = nil // an import that may have started consumes the handle
 	}
-	return failed
 }
 
 // recordTried records an endpoint on which an attempt failed.
@@ -208,21 +243,35 @@
 
 // send sends the attempt to the plan's serving engine and forwards the response.
 func (j *job) send(ctx context.Context, a *Attempt, plan Plan) *failure.Request {
-	j.result.Endpoint = plan.Serve.ID
-	ctx, dog := watchdog.New(ctx, j.stallTimeout(plan))
-	defer dog.Stop()
+	j.result.Endpoint, j.current = plan.Serve.ID, nil
+	timeout, sentAt := j.stallTimeout(plan), clock.Now()
+	ctx, dog := watchdog.NewConditional(ctx, timeout, silenceCheckInterval, j.mayAbandon(plan))
 	response, failed := j.relay.cfg.Upstream.Send(ctx, a)
+	if failed == nil && j.req.Route.Kind == routes.Stream && response.Status()/100 == 2 {
+		dog.Pause()
+		j.current = &openStream{response: response, plan: plan, dog: dog, stallTimeout: timeout, sentAt: sentAt, heardAt: clock.Now(), resumesRun: j.resumeHandle != nil}
+		j.current.start()
+		return j.forward(j.current)
+	}
+	defer dog.Stop()
 	if failed != nil {
 		return watchdog.Explain(ctx, failed)
 	}
 	defer response.Close()
-	if j.req.Route.Kind == routes.Stream && response.Status()/100 == 2 {
-		return watchdog.Explain(ctx, j.forwardStream(response, plan.Watch, dog))
-	}
 	plan.Watch.FirstEvent()
 	return watchdog.Explain(ctx, j.forwardBuffered(ctx, response))
 }
 
+// mayAbandon returns a function that reports whether an attempt that has stalled before its response
+// may be abandoned: in favour of a fallback response or of another attempt. A run with a backup is
+// bounded by its deadline.
+func (j *job) mayAbandon(plan Plan) func() bool {
+	if j.fallback != nil || plan.Backup != nil {
+		return func() bool { return true }
+	}
+	return j.replaceable(plan.Serve.ID)
+}
+
 // stallTimeout returns how long an attempt may take until its first event or response, or zero for
 // no timeout if the attempt must not be abandoned because it could not be repeated.
 func (j *job) stallTimeout(plan Plan) time.Duration {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -28,6 +28,8 @@
 	// chunks are the reads of the body, each after chunkDelay.
 	chunks     []string
 	chunkDelay time.Duration
+	// pauseBefore holds pauses before single reads, by index.
+	pauseBefore map[int]time.Duration
 	// err ends the body; nil ends it with io.EOF.
 	err error
 	// hang makes the call block until its context ends.
@@ -155,6 +157,7 @@
 	reply
 	ctx      context.Context
 	upstream *fakeUpstream
+	reads    int
 }
 
 func (r *fakeResponse) Status() int         { return r.status }
@@ -174,10 +177,11 @@
 		return 0, io.EOF
 	}
 	select {
-	case <-time.After(r.chunkDelay):
+	case <-time.After(r.chunkDelay + r.pauseBefore[r.reads]):
 	case <-r.ctx.Done():
 		return 0, r.ctx.Err()
 	}
+	r.reads++
 	n := copy(p, r.chunks[0])
 	if r.chunks[0] = r.chunks[0][n:]; r.chunks[0] == "" {
 		r.chunks = r.chunks[1:]
@@ -207,7 +211,7 @@
 
 func (p *fakePlanner) Plan(_ *Request, state AttemptState) (Plan, *failure.Request) {
 	p.states = append(p.states, state)
-	if len(p.pending) == 0 {
+	if !p.Available(nil, state) {
 		return Plan{}, &failure.Request{Code: failure.NoEndpoint, Ran: failure.NotRun, RetryAfter: time.Second}
 	}
 	next := p.pending[0]
@@ -233,6 +237,9 @@
 	return plan, nil
 }
 
+// Available reports whether a plan is left.
+func (p *fakePlanner) Available(*Request, AttemptState) bool { return len(p.pending) > 0 }
+
 // fakeWatch is the Watch of a fakePlanner's plans.
 type fakeWatch fakePlanner
 
@@ -244,12 +251,14 @@
 
 func (w *fakeWatch) Prefilled(*failure.Request, bool) {}
 func (w *fakeWatch) FirstEvent()                      {}
+func (w *fakeWatch) Event()                           {}
 func (w *fakeWatch) Finished(*failure.Request, bool)  { w.open-- }
 
 // fakeBudget is a Budget with a fixed number of retries.
 type fakeBudget struct{ firstAttempts, taken, left int }
 
-func (b *fakeBudget) First() { b.firstAttempts++ }
+func (b *fakeBudget) First()          { b.firstAttempts++ }
+func (b *fakeBudget) Available() bool { return b.left > 0 }
 func (b *fakeBudget) Take() bool {
 	if b.left == 0 {
 		return false
@@ -301,6 +310,8 @@
 	guard      Guard
 	router     Router
 	shutdownAt func() time.Time
+	// states, if set, receives what each plan was made for.
+	states *[]AttemptState
 }
 
 // clone returns a copy that can run independently of s.
@@ -378,6 +389,9 @@
 		result := relay.Serve(ctx, req, writer)
 		out.Elapsed = time.Since(start)
 		synctest.Wait()
+		if s.states != nil {
+			*s.states = planner.states
+		}
 		out.Status, out.Body, out.HeadSent = writer.status, writer.body.String(), result.HeadSent
 		if result.Failure != nil {
 			out.Code, out.Ran = result.Failure.Code, result.Failure.Ran
--- a/relay/request.go
+++ b/relay/request.go
@@ -169,6 +169,8 @@
 	Prefilled(failed *failure.Request, abandoned bool)
 	// FirstEvent is called on the first event of a stream or the head of any other response.
 	FirstEvent()
+	// Event is called on each later event of a stream.
+	Event()
 	// Finished is called exactly once, after the attempt has ended.
 	Finished(failed *failure.Request, abandoned bool)
 }
@@ -185,6 +187,9 @@
 	Colocated bool
 	// Suspicion is the evidence that the request crashes endpoints.
 	Suspicion Suspicion
+	// HeardSince, if set, excludes endpoints that have sent this VM nothing since then. It is set
+	// while another endpoint is silent, which may share its cause with others.
+	HeardSince time.Time
 	// Resume, if set, is the engine that holds a copy of the run and on which the run must resume.
 	Resume *directory.Endpoint
 }
@@ -192,4 +197,6 @@
 // Planner decides where an attempt goes. Its failures have the outcome NotRun.
 type Planner interface {
 	Plan(r *Request, state AttemptState) (Plan, *failure.Request)
+	// Available reports whether Plan is likely to return a plan. It reserves nothing.
+	Available(r *Request, state AttemptState) bool
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -5,13 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
-	"github.com/springweir/springweir/internal/watchdog"
 	"github.com/springweir/springweir/routes"
 )
 
@@ -39,13 +40,16 @@
 		j.recordStart() // the request ran and failed before its first event
 	}
 	buffered := &bufferedResponse{response: response, body: body}
-	if response.Status() >= http.StatusInternalServerError && j.mayRetryElsewhere(ctx) {
+	if response.Status() >= http.StatusInternalServerError && (j.held != nil || j.mayRetryElsewhere(ctx)) {
 		j.fallback = buffered
 		return &failure.Request{
 			Code: failure.EndpointFailed, Ran: failure.Done,
 			Message: fmt.Sprintf("the endpoint answered %d", response.Status()),
 		}
 	}
+	if failed := j.commitReplacement(); failed != nil {
+		return failed
+	}
 	return j.sendBuffered(buffered)
 }
 
@@ -88,38 +92,64 @@
 	return body, nil
 }
 
+// forward forwards the events of a stream and closes it, unless the stream is to be held.
+func (j *job) forward(s *openStream) *failure.Request {
+	failed := j.forwardStream(s)
+	if j.held != s {
+		s.close()
+	}
+	return failed
+}
+
 // forwardStream forwards each event once it has arrived completely. The head is sent with the first
-// event, so that the caller sees nothing of an attempt that fails before it.
-func (j *job) forwardStream(response Response, watch Watch, dog *watchdog.Watchdog) *failure.Request {
-	events := newEventReader(response)
+// event, so that the caller sees nothing of an attempt that fails before it. It returns early if the
+// endpoint is silent and a replacement is available.
+func (j *job) forwardStream(s *openStream) *failure.Request {
+	silence := time.NewTimer(j.silenceTimeout(s))
+	defer silence.Stop()
 	for {
-		e, err := events.next()
-		if err == io.EOF {
-			return j.finishStream(response)
-		}
-		if err != nil {
-			return interrupted(err)
-		}
-		j.resetGapTimeout(dog)
-		if failed := j.forwardEvent(response, e, watch); failed != nil {
-			return failed
+		select {
+		case item := <-s.items:
+			if item.err == io.EOF {
+				return j.finishStream(s.response)
+			}
+			if item.err != nil {
+				return interrupted(item.err)
+			}
+			if failed := j.forwardEvent(s, item.event); failed != nil {
+				return failed
+			}
+			silence.Reset(j.silenceTimeout(s))
+		case <-silence.C:
+			if j.fallback != nil || j.startReplacement(s) {
+				return stalled(s.heardAt)
+			}
+			silence.Reset(silenceCheckInterval)
 		}
 	}
 }
 
-// resetGapTimeout restarts the timeout for the next event. It disables the timeout if a fallback
-// response exists, because the current attempt is then the last.
-func (j *job) resetGapTimeout(dog *watchdog.Watchdog) {
-	if j.fallback != nil {
-		dog.Pause()
-		return
+// unlimited is the timeout of a stream that may be silent for any time.
+const unlimited = time.Duration(math.MaxInt64)
+
+// silenceTimeout returns how long the endpoint may take until the next event. The last attempt of a
+// request has no limit, and with a fallback response none after the first event.
+func (j *job) silenceTimeout(s *openStream) time.Duration {
+	switch {
+	case s.stallTimeout == 0, s.begun && j.fallback != nil:
+		return unlimited
+	case !s.begun:
+		return max(0, s.stallTimeout-clock.Since(s.sentAt))
 	}
-	dog.Reset(j.gapTimeout())
+	return max(0, j.gapTimeout()-clock.Since(s.heardAt))
 }
 
 // finishStream completes a stream that ended cleanly. A stream without events is a complete
 // response, whose head is sent here.
 func (j *job) finishStream(response Response) *failure.Request {
+	if failed := j.commitReplacement(); failed != nil {
+		return failed
+	}
 	if j.result.HeadSent {
 		return nil
 	}
@@ -138,19 +168,18 @@
 }
 
 // forwardEvent sends one event to the caller. Event IDs must increase, across attempts too.
-func (j *job) forwardEvent(response Response, e event, watch Watch) *failure.Request {
+func (j *job) forwardEvent(s *openStream, e event) *failure.Request {
 	if e.id != 0 && e.id <= j.lastEventID {
 		return &failure.Request{
 			Code: failure.AnswerMismatch, Ran: failure.Unknown,
 			Message: fmt.Sprintf("event %d follows event %d", e.id, j.lastEventID),
 		}
 	}
-	if j.result.Events == 0 {
-		watch.FirstEvent()
-		j.recordStart()
+	if failed := j.recordEvent(s); failed != nil {
+		return failed
 	}
 	if !j.result.HeadSent {
-		if failed := j.sendHead(response, -1); failed != nil {
+		if failed := j.sendHead(s.response, -1); failed != nil {
 			return failed
 		}
 	}
@@ -168,6 +197,23 @@
 	return nil
 }
 
+// recordEvent records that the endpoint of a stream has sent an event. The first one makes the
+// attempt replace a silent one.
+func (j *job) recordEvent(s *openStream) *failure.Request {
+	s.heardAt = clock.Now()
+	if s.begun {
+		s.plan.Watch.Event()
+		return nil
+	}
+	if failed := j.commitReplacement(); failed != nil {
+		return failed
+	}
+	s.begun = true
+	s.plan.Watch.FirstEvent()
+	j.recordStart()
+	return nil
+}
+
 // callerDisconnected returns the failure of a request whose caller could not be written to.
 func callerDisconnected(err error) *failure.Request {
 	return &failure.Request{Code: failure.CallerGone, Ran: failure.Unknown, Message: "the caller went away", Cause: err}
--- a/retry/window.go
+++ b/retry/window.go
@@ -63,18 +63,32 @@
 	w.first[w.slot()]++
 }
 
+// Available reports whether a retry is available.
+func (w *Window) Available() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.available()
+}
+
 // Take consumes one retry and reports whether one was available.
 func (w *Window) Take() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	if float64(sum(w.retries)+1) > w.limits.Ratio*float64(sum(w.first))+w.limits.Extra {
+	if !w.available() {
 		return false
 	}
 	w.retries[w.slot()]++
 	return true
 }
 
+// available reports whether the limits allow one more retry. The caller holds mu and has advanced
+// the window.
+func (w *Window) available() bool {
+	return float64(sum(w.retries)+1) <= w.limits.Ratio*float64(sum(w.first))+w.limits.Extra
+}
+
 // slot returns the index of the current bucket in the rings.
 func (w *Window) slot() int64 { return w.current % (buckets + 1) }
 
