Add package hop, which hands an attempt for an endpoint to another VM

Cause: a VM that cannot reach an endpoint has no way to use another VM's connection to it, and the own API's hop between entries held its own headers, encoding of failures and check of the attempt.

The headers, the encoding of failures, the parsing of the deadline and the check of the attempt moved there from forward and caller.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -10,8 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
-	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/hop"
 )
 
 // reject returns the failure of a request that was rejected before it was forwarded.
@@ -35,12 +35,11 @@
 // fail writes an error response. The response must not have been started.
 func (x *exchange) fail(f *failure.Request) {
 	x.recordFailure(f)
-	header := x.w.Header()
-	header.Set(wire.HeaderReason, string(f.Code))
-	if delay := retryAfter(f); delay > 0 {
-		header.Set("Retry-After", strconv.FormatInt(ceilSeconds(delay), 10))
+	f = withRetryAfter(f)
+	if f.RetryAfter > 0 {
+		x.w.Header().Set("Retry-After", strconv.FormatInt(ceilSeconds(f.RetryAfter), 10))
 	}
-	x.writeJSON(f.Status(), errorBody(f))
+	x.logWriteError(hop.WriteFailure(x.w, f))
 }
 
 // recordFailure counts and logs a failure.
@@ -50,15 +49,6 @@
 	klog.V(1).Infof("caller: request %s of %q failed: %v", x.work.ID, x.work.Organisation, f)
 }
 
-func errorBody(f *failure.Request) wire.ErrorBody {
-	return wire.ErrorBody{Error: wire.Error{
-		Reason:           f.Code,
-		Outcome:          f.Ran,
-		Message:          f.Message,
-		RetryAfterMillis: retryAfter(f).Milliseconds(),
-	}}
-}
-
 // transientReasons are the failures for which a retry after a short delay may succeed.
 var transientReasons = map[failure.Reason]bool{
 	failure.EndpointRefused:     true,
@@ -73,12 +63,15 @@
 // defaultRetryAfter is sent for a transient failure without its own retry delay.
 const defaultRetryAfter = time.Second
 
-// retryAfter returns the delay after which the caller may retry, or zero if a retry is of no use.
-func retryAfter(f *failure.Request) time.Duration {
-	if f.RetryAfter == 0 && f.Ran == failure.NotRun && transientReasons[f.Code] {
-		return defaultRetryAfter
+// withRetryAfter returns f with the delay after which the caller may retry, or zero if a retry is of
+// no use.
+func withRetryAfter(f *failure.Request) *failure.Request {
+	if f.RetryAfter != 0 || f.Ran != failure.NotRun || !transientReasons[f.Code] {
+		return f
 	}
-	return f.RetryAfter
+	delayed := *f
+	delayed.RetryAfter = defaultRetryAfter
+	return &delayed
 }
 
 // ceilSeconds rounds up, because an early retry would be rejected again.
@@ -89,7 +82,12 @@
 func (x *exchange) writeJSON(status int, body any) {
 	x.w.Header().Set("Content-Type", "application/json")
 	x.w.WriteHeader(status)
-	if err := json.NewEncoder(x.w).Encode(body); err != nil {
+	x.logWriteError(json.NewEncoder(x.w).Encode(body))
+}
+
+// logWriteError logs the error, if any, of writing the response.
+func (x *exchange) logWriteError(err error) {
+	if err != nil {
 		klog.V(1).Infof("caller: request %s: writing the response failed: %v", x.work.ID, err)
 	}
 }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/clock"
 )
 
@@ -59,9 +59,7 @@
 		start := clock.Now()
 		work := &forward.Work{ID: rand.Text(), FromOtherZone: r.Header.Get(wire.HeaderHop) != ""}
 		w.Header().Set(wire.HeaderRequest, work.ID)
-		if attempt := r.Header.Get(wire.HeaderAttempt); attempt != "" {
-			w.Header().Set(wire.HeaderAttempt, attempt)
-		}
+		hop.EchoAttempt(w.Header(), r.Header)
 		x := &exchange{w: w, r: r, work: work, kind: k, start: start}
 		failed := h.readHeaders(x)
 		if work.FromOtherZone {
@@ -98,7 +96,7 @@
 		return failed
 	}
 	x.work.Priority = priority
-	x.requestedTimeout, failed = parseDeadline(x.r.Header.Get(wire.HeaderDeadline))
+	x.requestedTimeout, failed = hop.ParseDeadline(x.r.Header)
 	h.applyLimits(x, Limits{})
 	return failed
 }
@@ -129,22 +127,6 @@
 	return p, nil
 }
 
-// maxRequestedTimeout caps the requested time so that adding it to a time cannot overflow.
-const maxRequestedTimeout = 365 * 24 * time.Hour
-
-// parseDeadline parses the deadline header and returns the time until the deadline; zero means that
-// the caller specified none.
-func parseDeadline(header string) (time.Duration, *failure.Request) {
-	if header == "" {
-		return 0, nil
-	}
-	ms, err := strconv.ParseInt(header, 10, 64)
-	if err != nil || ms <= 0 {
-		return 0, reject(failure.BadRequest, wire.HeaderDeadline+" must be a positive number of milliseconds")
-	}
-	return time.Duration(min(ms, maxRequestedTimeout.Milliseconds())) * time.Millisecond, nil
-}
-
 // applyLimits sets the deadline of x according to l, completed by the general limits, and returns
 // the resulting limits. Requests from other zones may have larger bodies.
 func (h *Handler) applyLimits(x *exchange, l Limits) Limits {
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -9,6 +9,7 @@
 	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/clock"
 )
 
@@ -105,7 +106,7 @@
 	}
 	s.builder.x.recordFailure(f)
 	// A write error means that the caller has disconnected; there is nobody to report it to.
-	_ = s.writeEvent("error", errorBody(f))
+	_ = s.writeEvent("error", hop.EncodeFailure(withRetryAfter(f)))
 	return nil
 }
 
--- a/caller/wire/wire.go
+++ b/caller/wire/wire.go
@@ -20,10 +20,20 @@
 	HeaderRequest = "Springweir-Request-Id"
 	// HeaderReplayed is set on the stored response of a call that was executed earlier.
 	HeaderReplayed = "Springweir-Replayed"
-	// HeaderHop is set between entries; a request with it is not forwarded to yet another zone.
+	// HeaderHop is set between VMs; a request with it is not forwarded to yet another VM. On requests
+	// with HeaderEndpoint it is the name of the sending VM.
 	HeaderHop = "Springweir-Hop"
-	// HeaderAttempt associates a request between entries and its response with one attempt.
+	// HeaderAttempt associates a request between VMs and its response with one attempt.
 	HeaderAttempt = "Springweir-Attempt"
+	// HeaderEndpoint and HeaderIncarnation name the endpoint that the receiving VM passes a request
+	// to, and its incarnation.
+	HeaderEndpoint    = "Springweir-Endpoint"
+	HeaderIncarnation = "Springweir-Incarnation"
+	// HeaderConnect marks a request that asks the receiving VM only to open a connection to the
+	// endpoint.
+	HeaderConnect = "Springweir-Connect"
+	// HeaderPrefix starts the name of every header of springweir itself.
+	HeaderPrefix = "Springweir-"
 )
 
 // Paths of the API.
@@ -33,6 +43,8 @@
 	PathModels      = "/v1/models"
 	// PathServices is the prefix of plain service calls: /s/<service>/<path>.
 	PathServices = "/s/"
+	// PathConnect is the path of requests with HeaderConnect.
+	PathConnect = "/springweir/connect"
 )
 
 // DoneEvent is the data of the event that ends a complete stream. A failed stream never has it.
--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -43,6 +43,13 @@
 	EndpointRefused Reason = "endpoint-refused"
 	// EndpointUnreachable is a request of which no byte could be written to the endpoint.
 	EndpointUnreachable Reason = "endpoint-unreachable"
+	// EndpointDown is a request that another VM could not pass on, because the endpoint refused the
+	// connection.
+	EndpointDown Reason = "endpoint-down"
+	// EndpointUnknown is a request for an endpoint that the VM asked to pass it on does not know.
+	EndpointUnknown Reason = "endpoint-unknown"
+	// VMBusy is a request that another VM did not pass on, because it passes on too many.
+	VMBusy Reason = "vm-busy"
 	// EndpointBroke is a request whose connection failed after part of it was written.
 	EndpointBroke Reason = "endpoint-broke"
 	// EndpointFailed is a request for which the endpoint returned an error.
@@ -174,6 +181,9 @@
 	NoEndpoint:          http.StatusServiceUnavailable,
 	EndpointRefused:     http.StatusServiceUnavailable,
 	EndpointUnreachable: http.StatusBadGateway,
+	EndpointDown:        http.StatusBadGateway,
+	EndpointUnknown:     http.StatusServiceUnavailable,
+	VMBusy:              http.StatusServiceUnavailable,
 	EndpointBroke:       http.StatusBadGateway,
 	EndpointFailed:      http.StatusBadGateway,
 	EndpointStalled:     http.StatusBadGateway,
--- a/forward/peer.go
+++ b/forward/peer.go
@@ -5,23 +5,17 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
-	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/httponce"
 	"github.com/springweir/springweir/service"
 )
 
-// maxErrorBody bounds how much of a peer's error body is read, in bytes.
-const maxErrorBody = 64 << 10
-
 // Limits of the connections to entries of other zones.
 const (
 	peerConnectTimeout = time.Second
@@ -108,28 +102,26 @@
 	if err != nil {
 		return nil, exchangeFailure(err)
 	}
-	if resp.Header.Get(wire.HeaderAttempt) != attempt {
+	if !hop.EchoesAttempt(resp.Header, attempt) {
 		resp.Abort()
 		return nil, &failure.Request{Code: failure.AnswerMismatch, Ran: failure.Unknown, Message: "the answer belongs to another attempt"}
 	}
-	if reason := resp.Header.Get(wire.HeaderReason); reason != "" {
-		return nil, readPeerFailure(resp.Response, failure.Reason(reason))
+	if hop.ReportsFailure(resp.Header) {
+		return nil, readPeerFailure(resp.Response)
 	}
 	return resp.Response, nil
 }
 
+// hopName is sent in place of the VM's name: the entry of another zone does not need it.
+const hopName = "1"
+
 func setHopHeaders(ctx context.Context, header http.Header, w *Work, attempt string) {
-	header.Set(wire.HeaderHop, "1")
-	header.Set(wire.HeaderAttempt, attempt)
+	hop.SetHeaders(ctx, header, hopName, attempt)
 	header.Set("Authorization", w.Authorization)
 	header.Set(wire.HeaderPriority, priorityName(w.Priority))
 	if w.IdempotencyKey != "" {
 		header.Set(wire.HeaderIdempotencyKey, w.IdempotencyKey)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		remaining := max(clock.Until(deadline).Milliseconds(), 1)
-		header.Set(wire.HeaderDeadline, strconv.FormatInt(remaining, 10))
-	}
 }
 
 func priorityName(p engine.Priority) string {
@@ -154,21 +146,11 @@
 
 // readPeerFailure decodes the failure that a peer reported. If it cannot be decoded, the outcome is
 // unknown.
-func readPeerFailure(resp *http.Response, reason failure.Reason) *failure.Request {
+func readPeerFailure(resp *http.Response) *failure.Request {
 	defer resp.Body.Close()
-	var body wire.ErrorBody
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBody)).Decode(&body)
-	if err != nil || body.Error.Reason != reason {
+	failed, err := hop.ReadFailure(resp.Header, resp.Body)
+	if err != nil {
 		return &failure.Request{Code: failure.EndpointBroke, Ran: failure.Unknown, Message: "the other zone's entry gave no readable failure", Cause: err}
 	}
-	return peerFailure(body.Error)
-}
-
-func peerFailure(e wire.Error) *failure.Request {
-	ran := e.Outcome
-	if ran != failure.NotRun && ran != failure.Done {
-		ran = failure.Unknown
-	}
-	after := time.Duration(e.RetryAfterMillis) * time.Millisecond
-	return &failure.Request{Code: e.Reason, Ran: ran, RetryAfter: after, Message: strings.TrimSpace(e.Message)}
+	return failed
 }
--- a/forward/peerstream.go
+++ b/forward/peerstream.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/hop"
 )
 
 // maxEvent bounds one event of a peer's stream, in bytes.
@@ -70,7 +71,7 @@
 		return engine.Frame{}, s.truncated(err)
 	}
 	if event.Error != nil {
-		return engine.Frame{}, peerFailure(*event.Error)
+		return engine.Frame{}, hop.DecodeFailure(*event.Error)
 	}
 	if event.HopChunk != nil {
 		s.version = event.HopChunk.Version
--- /dev/null
+++ b/hop/client.go
@@ -0,0 +1,191 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/springweir/springweir/caller/wire"
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/internal/h1"
+)
+
+// Peer is another VM.
+type Peer struct {
+	Name string
+	// Address is the host:port at which it serves other VMs.
+	Address string
+}
+
+// Client hands requests to other VMs. It never retries. It is safe for concurrent use.
+type Client struct {
+	self string
+	opts h1.Options
+
+	// mu guards pools, by address. No other lock is acquired while it is held.
+	mu    sync.Mutex
+	pools map[string]*h1.Pool
+}
+
+// NewClient returns a client of the VM named self. The options apply to the connections to other VMs.
+func NewClient(self string, o h1.Options) *Client {
+	return &Client{self: self, opts: o, pools: map[string]*h1.Pool{}}
+}
+
+// Retain closes the idle connections to addresses that are not in the list, and those idle for too
+// long.
+func (c *Client) Retain(addresses []string) {
+	now := clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if slices.Contains(addresses, address) {
+			p.Prune(now)
+			continue
+		}
+		p.Close()
+		delete(c.pools, address)
+	}
+}
+
+func (c *Client) pool(address string) *h1.Pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = h1.NewPool(address, c.opts)
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Do sends out to vm, which passes it to e, and returns the endpoint's response. Both the fields of
+// out and the response are as with h1.Pool.Do on a connection to the endpoint, except that
+// out.BeforeWrite is called once there is a connection to vm, and that a response that out.Accept
+// rejects ends the exchange. The request is sent at most once.
+//
+// The error is *Error if vm reported a failure, otherwise *h1.Error, whose cause is an
+// *ExchangeError or the error of out.BeforeWrite.
+func (c *Client) Do(ctx context.Context, vm Peer, e *directory.Endpoint, out *h1.Request) (*h1.Response, error) {
+	response, err := c.exchange(ctx, vm, e, out, nil)
+	if err != nil {
+		return nil, err
+	}
+	if out.Accept != nil && !out.Accept(response.Status, response.Header) {
+		response.Close()
+		return nil, strayResponse(vm, response.Status)
+	}
+	return response, nil
+}
+
+// Connect asks vm to open a connection to e. The errors are those of Do.
+func (c *Client) Connect(ctx context.Context, vm Peer, e *directory.Endpoint) error {
+	out := &h1.Request{Method: http.MethodGet, Target: wire.PathConnect, Host: vm.Address, Header: http.Header{}}
+	response, err := c.exchange(ctx, vm, e, out, http.Header{wire.HeaderConnect: {"1"}})
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	if response.Status != http.StatusNoContent {
+		return &h1.Error{Sent: true, Cause: &ExchangeError{VM: vm.Name, Cause: &StatusError{Status: response.Status}}}
+	}
+	return nil
+}
+
+// exchange sends out to vm with the headers for e and extra, and returns the response without the
+// headers of springweir and of the connection.
+func (c *Client) exchange(ctx context.Context, vm Peer, e *directory.Endpoint, out *h1.Request, extra http.Header) (*h1.Response, error) {
+	attempt := rand.Text()
+	sent := *out
+	sent.Accept = func(_ int, h http.Header) bool { return mayAnswer(h, attempt) }
+	withdrawn := false
+	sent.BeforeWrite = func(r *h1.Request) error {
+		if out.BeforeWrite != nil {
+			if err := out.BeforeWrite(r); err != nil {
+				withdrawn = true
+				return err
+			}
+		}
+		r.Header = c.header(ctx, r.Header, e, attempt, extra)
+		return nil
+	}
+	response, err := c.pool(vm.Address).Do(ctx, &sent)
+	if err != nil {
+		if withdrawn {
+			return nil, err
+		}
+		return nil, exchangeFailure(vm, err)
+	}
+	return checkResponse(vm, response, attempt)
+}
+
+// header returns the headers of a request to another VM, given those of the request to the endpoint.
+func (c *Client) header(ctx context.Context, from http.Header, e *directory.Endpoint, attempt string, extra http.Header) http.Header {
+	h := http.Header{}
+	if from != nil {
+		h = from.Clone()
+	}
+	removeConnectionHeaders(h)
+	removeOwnHeaders(h)
+	SetHeaders(ctx, h, c.self, attempt)
+	h.Set(wire.HeaderEndpoint, e.ID)
+	h.Set(wire.HeaderIncarnation, e.Incarnation())
+	for name, values := range extra {
+		h[name] = values
+	}
+	return h
+}
+
+// mayAnswer reports whether a response may belong to an attempt. One without an attempt is no
+// Server's, and the only one to be expected.
+func mayAnswer(h http.Header, attempt string) bool {
+	return EchoesAttempt(h, "") || EchoesAttempt(h, attempt)
+}
+
+// checkResponse returns the endpoint's response, or the error if it belongs to another attempt or
+// reports a failure.
+func checkResponse(vm Peer, response *h1.Response, attempt string) (*h1.Response, error) {
+	if !EchoesAttempt(response.Header, attempt) {
+		response.Close()
+		return nil, strayResponse(vm, response.Status)
+	}
+	if ReportsFailure(response.Header) {
+		defer response.Close()
+		return nil, readError(vm, response)
+	}
+	removeOwnHeaders(response.Header)
+	removeConnectionHeaders(response.Header)
+	return response, nil
+}
+
+// readError returns the failure that vm reported.
+func readError(vm Peer, response *h1.Response) *Error {
+	body, err := response.ReadAll(maxErrorBody)
+	if err != nil {
+		return &Error{VM: vm.Name, Code: failure.EndpointBroke, Outcome: failure.Unknown, Cause: err}
+	}
+	failed, err := ReadFailure(response.Header, bytes.NewReader(body))
+	if err != nil {
+		return &Error{VM: vm.Name, Code: failure.EndpointBroke, Outcome: failure.Unknown, Cause: err}
+	}
+	return newError(vm.Name, failed)
+}
+
+func strayResponse(vm Peer, status int) *h1.Error {
+	return &h1.Error{Sent: true, Cause: &ExchangeError{VM: vm.Name, Cause: &h1.StrayResponseError{Status: status}}}
+}
+
+// exchangeFailure returns the error of a failed exchange with vm.
+func exchangeFailure(vm Peer, err error) *h1.Error {
+	var exchange *h1.Error
+	if !errors.As(err, &exchange) {
+		return &h1.Error{Sent: true, Cause: &ExchangeError{VM: vm.Name, Cause: err}}
+	}
+	return &h1.Error{Sent: exchange.Sent, Reused: exchange.Reused, Cause: &ExchangeError{VM: vm.Name, Cause: exchange.Cause}}
+}
