hop: close gaps that trial mutations of the package showed

Cause: mutations on this tree showed that no test noticed a Connection header of the caller that closed the connection between VMs, nor a failure without an outcome. Change: both are tested. No change outside tests.

--- a/hop/exchange_test.go
+++ b/hop/exchange_test.go
@@ -234,6 +234,7 @@
 		s.client = hop.NewClient("vm-a", h1.Options{Network: counted})
 		send := func(maxIdle int) {
 			out := get()
+			out.Header.Set("Connection", "close") // concerns the connection to the endpoint only
 			if maxIdle < 0 {
 				out.MaxIdle = h1.NewConnection
 			}
--- a/hop/failures_test.go
+++ b/hop/failures_test.go
@@ -248,9 +248,10 @@
 	}
 	const busy = `{"error":{"reason":"vm-busy","outcome":"not-run"}}`
 	type outcome struct {
-		body           string
-		sent, reported bool
-		notRun         bool
+		body string
+		sent bool
+		// reported is the outcome that the VM reported.
+		reported failure.Outcome
 	}
 	for _, tt := range []struct {
 		name    string
@@ -259,15 +260,15 @@
 	}{
 		{"own answer", func(a string) string { return answer(a, "own") }, outcome{body: "own"}},
 		{"own answer after another's", func(a string) string { return answer("x", "other") + answer(a, "own") }, outcome{body: "own"}},
-		{"own refusal", func(a string) string { return refusal(a, busy) }, outcome{reported: true, notRun: true}},
+		{"own refusal", func(a string) string { return refusal(a, busy) }, outcome{reported: failure.NotRun}},
 		{"another's answer", func(string) string { return answer("x", "other") }, outcome{sent: true}},
 		{"another's refusal", func(string) string { return refusal("x", busy) }, outcome{sent: true}},
 		{"nobody's refusal", func(string) string { return refusal("", busy) }, outcome{sent: true}},
 		{"no attempt", func(string) string { return "HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n" }, outcome{sent: true}},
-		{"refusal without a body", func(a string) string { return refusal(a, "") }, outcome{reported: true}},
-		{"refusal with another reason", func(a string) string { return refusal(a, strings.Replace(busy, "vm-busy", "x", 1)) }, outcome{reported: true}},
-		{"refusal without an outcome", func(a string) string { return refusal(a, `{"error":{"reason":"vm-busy"}}`) }, outcome{reported: true}},
-		{"refusal that breaks off", func(a string) string { return strings.TrimSuffix(refusal(a, busy), "}") }, outcome{reported: true}},
+		{"refusal without a body", func(a string) string { return refusal(a, "") }, outcome{reported: failure.Unknown}},
+		{"refusal with another reason", func(a string) string { return refusal(a, strings.Replace(busy, "vm-busy", "x", 1)) }, outcome{reported: failure.Unknown}},
+		{"refusal without an outcome", func(a string) string { return refusal(a, `{"error":{"reason":"vm-busy"}}`) }, outcome{reported: failure.Unknown}},
+		{"refusal that breaks off", func(a string) string { return strings.TrimSuffix(refusal(a, busy), "}") }, outcome{reported: failure.Unknown}},
 		{"nothing", func(string) string { return "" }, outcome{sent: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -288,7 +289,7 @@
 			var reported *hop.Error
 			switch {
 			case errors.As(err, &reported):
-				got.reported, got.notRun = true, reported.NotRun()
+				got.reported = reported.Outcome
 			case errors.As(err, &exchange):
 				got.sent = exchange.Sent
 			}
