--- a/hop/ending_test.go
+++ b/hop/ending_test.go
@@ -224,7 +224,7 @@
 		inSite(t, raw(emptyOK), func(t *testing.T, s *site) {
 			c := s.dialVM()
 			defer c.Close()
-			request := strings.Replace(hopRequest(time.Second, ""), "Deadline-Ms: 1000", "Deadline-Ms: "+value, 1)
+			request := strings.Replace(hopRequest(time.Second, ""), wire.HeaderDeadline+": 1000", wire.HeaderDeadline+": "+value, 1)
 			if _, err := io.WriteString(c, request); err != nil {
 				t.Fatal(err)
 			}
