placement: report no failed connections as refusals to other VMs

Callers of VMs that reached all endpoints were refused while another VM's connections to them hung: a dial that timed out counted as a refusal of the endpoint, and from the second one on all VMs left the endpoint out.

Cause: recordRefusal for every attempt that did not run. Change: a failed connection pauses the endpoint for this VM only.

--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -48,6 +48,8 @@
 	// pausedUntil is the end of the pause after a refusal, and refusals counts consecutive ones.
 	pausedUntil time.Time
 	refusals    int
+	// unreachable counts consecutive attempts for which this VM could not connect.
+	unreachable int
 	// heardAt is when the endpoint last sent this VM a response or an event, in Unix nanoseconds.
 	heardAt atomic.Int64
 }
@@ -77,7 +79,7 @@
 // recordRefusal pauses the endpoint. One that has another incarnation or role than its row shows is
 // paused until the row is likely to be updated.
 func (e *endpointLoad) recordRefusal(now time.Time, code failure.Reason) {
-	pause := min(minPause<<min(e.refusals, 8), maxPause)
+	pause := pauseAfter(e.refusals)
 	if code == failure.WrongIncarnation {
 		pause = wrongIncarnationPause
 	}
@@ -85,6 +87,15 @@
 	e.refusals++
 }
 
+// recordUnreachable pauses the endpoint for this VM only: others may reach it.
+func (e *endpointLoad) recordUnreachable(now time.Time) {
+	e.pausedUntil = now.Add(pauseAfter(e.unreachable))
+	e.unreachable++
+}
+
+// pauseAfter returns the pause after the given number of consecutive failures.
+func pauseAfter(failures int) time.Duration { return min(minPause<<min(failures, 8), maxPause) }
+
 // source identifies what one report covers: a segment of the work of a VM, or of the sum of a zone
 // or the region. A sum has the same source whichever VM collected it.
 type source struct {
@@ -116,7 +127,7 @@
 	byID   map[string]*endpointLoad
 	byHash map[uint32]*endpointLoad
 	// working holds the tracked endpoints with local work, and refused those with consecutive
-	// refusals. Reports are made of these, so their cost does not grow with the number of endpoints.
+	// refusals or failed connections. Reports are made of these, so their cost does not grow with the number of endpoints.
 	working, refused map[*endpointLoad]bool
 	// down holds the tracked endpoints that were found down.
 	down map[*endpointLoad]bool
@@ -213,6 +224,16 @@
 // recordRefusal pauses an endpoint that has refused a request.
 func (t *loadTracker) recordRefusal(now time.Time, e *endpointLoad, code failure.Reason) {
 	e.recordRefusal(now, code)
+	t.recordPaused(e)
+}
+
+// recordUnreachable pauses an endpoint to which this VM could not connect.
+func (t *loadTracker) recordUnreachable(now time.Time, e *endpointLoad) {
+	e.recordUnreachable(now)
+	t.recordPaused(e)
+}
+
+func (t *loadTracker) recordPaused(e *endpointLoad) {
 	if t.byID[e.id] == e {
 		t.refused[e] = true
 	}
@@ -401,7 +422,7 @@
 // roleChanged clears the pause of an engine whose role has changed.
 func (t *loadTracker) roleChanged(id string) {
 	if e := t.byID[id]; e != nil {
-		e.pausedUntil, e.refusals = time.Time{}, 0
+		e.pausedUntil, e.refusals, e.unreachable = time.Time{}, 0, 0
 	}
 }
 
@@ -413,7 +434,7 @@
 		switch {
 		case now.Before(e.pausedUntil) && e.refusals > 1:
 			list = append(list, e.hash)
-		case e.refusals == 0:
+		case e.refusals == 0 && e.unreachable == 0:
 			delete(t.refused, e)
 		}
 	}
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -151,10 +151,12 @@
 	switch {
 	case abandoned:
 	case failed == nil:
-		r.load.refusals = 0
+		r.load.refusals, r.load.unreachable = 0, 0
 		r.load.recordServed(r.sentAt)
 	case relay.IsConnectionRefused(failed):
 		p.markDown(r.load)
+	case failed.Ran == failure.NotRun && failed.Code == failure.EndpointUnreachable:
+		p.loads.recordUnreachable(p.now(), r.load)
 	case failed.Ran == failure.NotRun:
 		p.loads.recordRefusal(p.now(), r.load, failed.Code)
 	}
