placement: fall back to endpoints of a group, not of a service

While all engines that decode were down and some that only prefill were not, streams were refused for the five seconds of downTTL without an attempt: down endpoints were the last resort of the service, which had candidates left.

Change: refusing and down endpoints are the fallback of their group.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -218,8 +218,8 @@
 
 // usable returns the endpoints of the service that may be sent a request now. It omits endpoints
 // that are excluded, ejected, changing their role, blocked by their own signals or not expendable
-// for a suspect. Endpoints that refuse other VMs are returned only if there are no others, and those
-// that are down only as a last resort.
+// for a suspect. Endpoints that refuse other VMs are returned only if there are no others of their
+// group, and those that are down only as a last resort.
 func (d *decision) usable(excluded []string) []*directory.Endpoint {
 	p := d.p
 	isDown, refusingPeers, allHealthy := p.loads.downNow(d.now), p.loads.refusingPeers(), p.health.AllHealthy()
@@ -239,12 +239,27 @@
 			candidates = append(candidates, e)
 		}
 	}
-	for _, list := range [][]*directory.Endpoint{candidates, refusing, down} {
-		if len(list) > 0 {
-			return d.expendable(list)
+	return d.expendable(withFallbacks(candidates, refusing, down))
+}
+
+// withFallbacks returns the first list of endpoints, and of each later one those of groups that no
+// earlier list contains.
+func withFallbacks(list []*directory.Endpoint, fallbacks ...[]*directory.Endpoint) []*directory.Endpoint {
+	for _, fallback := range fallbacks {
+		if len(fallback) == 0 {
+			continue
+		}
+		present := map[directory.Group]bool{}
+		for _, e := range list {
+			present[e.Group()] = true
+		}
+		for _, e := range fallback {
+			if !present[e.Group()] {
+				list = append(list, e)
+			}
 		}
 	}
-	return nil
+	return list
 }
 
 // isUnheard reports whether an endpoint has sent nothing since the time that the request requires.
