reach, gateway: send attempts through another VM if an endpoint is not reached

Callers of VMs that had lost the way to all endpoints were refused, while other VMs reached all of them; and what such a VM found (endpoints refuse connections, runs were reset) made the other VMs avoid sound endpoints.

Cause: the data path knew one way to an endpoint, and took the state of its own path for that of the endpoint.

Change: an attempt whose endpoint is not reached goes through another VM (package hop; reach decides when and through which). An endpoint is down only if VMs that reach others find it so. VMs that do not reach several endpoints say so and are asked last. Broken paths are checked in the background.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -63,7 +63,7 @@
 	if g.usage != nil {
 		mux.Handle(usage.PathPrefix, usage.Handler(g.usage))
 	}
-	return mux
+	return g.servePeer(mux)
 }
 
 // meter returns the counter of requests for usage reports, or nil if no usage is reported.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,7 +17,9 @@
 	"github.com/springweir/springweir/duties/usage"
 	"github.com/springweir/springweir/feedshare"
 	"github.com/springweir/springweir/freshness"
+	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/internal/h1"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/lease"
@@ -25,6 +27,7 @@
 	"github.com/springweir/springweir/placement"
 	"github.com/springweir/springweir/poison"
 	"github.com/springweir/springweir/quota"
+	"github.com/springweir/springweir/reach"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/retry"
 	"github.com/springweir/springweir/rolechange"
@@ -98,11 +101,18 @@
 	// EpochSince returns when this process first saw that epoch; zero for a store without epochs.
 	EpochSince func() time.Time
 	Upstream   relay.Upstream
-	Engines    rolechange.Engines
-	Usage      usage.Platform
-	Scaling    scaling.Platform
-	Caches     Caches
-	Codec      Codec
+	// Direct sends requests over this VM's own connections to endpoints, and Forward those of other
+	// VMs. SetSender sets what sends attempts; without it, all are sent directly.
+	Direct    reach.Direct
+	Forward   func(context.Context, *directory.Endpoint, *h1.Request) (*h1.Response, error)
+	SetSender func(reach.Sender)
+	// RequestID returns the ID of a request, given its headers.
+	RequestID func(http.Header) string
+	Engines   rolechange.Engines
+	Usage     usage.Platform
+	Scaling   scaling.Platform
+	Caches    Caches
+	Codec     Codec
 	// Config is the key of the operators' configuration row. Endpoints is the table in which
 	// endpoints register.
 	Config    table.Key
@@ -110,8 +120,6 @@
 	// DecodeConfig and DecodeEndpoint decode the respective rows. Their errors name the row.
 	DecodeConfig   func(table.Row) (*routes.Config, error)
 	DecodeEndpoint func(table.Row) (directory.Registration, error)
-	// Down reports whether nothing listens at an endpoint's address any more.
-	Down func(context.Context, *directory.Endpoint) bool
 	// ObserveResponses sets the function called with each response of an endpoint. It may be nil.
 	ObserveResponses func(func(signals.Response))
 	// CloseStaleConnections closes connections to endpoints that are not in the snapshot or have
@@ -141,6 +149,12 @@
 	duties *duties.Runner
 	guard  *poison.Guard
 	quota  *quota.Limiter
+	// reach sends attempts to endpoints, through other VMs if necessary, and hop passes on those of
+	// other VMs.
+	reach *reach.Client
+	hop   *hop.Server
+	// peerAddresses holds the addresses of the other VMs by name.
+	peerAddresses atomic.Pointer[map[string]string]
 	// configs, endpoints, vms and verdicts are the sources of the tables that this VM follows.
 	configs, endpoints, vms, verdicts *feedshare.Source
 	// stored is the configuration last received from the store; nil before the first.
@@ -150,6 +164,7 @@
 // New returns a gateway. Run starts it.
 func New(s Settings, p Platform, n network.Network) *Gateway {
 	g := &Gateway{settings: s, platform: p, network: n, started: time.Now(), freshness: freshness.New(nil)}
+	g.peerAddresses.Store(&map[string]string{})
 	g.state = &state{freshness: g.freshness, revoke: newRevokeBudget(s.RevokeWithin), applyWithin: s.ApplyWithin}
 	g.signals = signals.New(signals.Config{
 		VM: s.VM, Publish: func(n loadshare.Announcement) { g.exchange.Broadcast(n) }, Endpoints: func() *directory.Snapshot { return g.directory.Snapshot() },
@@ -180,9 +195,10 @@
 		Rows: p.Rows, Epoch: p.Epoch, HandoverDelay: s.Lease, Rank: g.exchange.Rank,
 		Self: lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
 	}, g.listDuties(wallClock)...)
+	g.newReach()
 	g.quota = quota.New(quota.Config{VM: s.VM, Limit: g.state.limitOf, Peers: quota.NewClient(n)})
 	g.guard = poison.NewGuard(poison.Config{
-		Down: p.Down, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
+		Down: g.isDown, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
 	})
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard,
@@ -197,7 +213,7 @@
 	s := g.settings
 	c := loadshare.Config{
 		VM: s.VM, Zone: s.Zone, Address: s.Peers, Capacity: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond,
-		LocalReport: g.planner.LocalReport, OnLoad: g.receiveLoad, OnAnnouncement: g.receiveAnnouncement,
+		LocalReport: g.localReport, OnLoad: g.receiveLoad, OnAnnouncement: g.receiveAnnouncement,
 	}
 	if g.usage != nil {
 		c.Usage = g.usage
@@ -273,11 +289,12 @@
 	group.Go(func() error { g.awaitPeers(workCtx); g.guard.Run(workCtx); return nil })
 	group.Go(func() error { g.awaitPeers(leadingCtx); g.duties.Run(leadingCtx); return nil })
 	group.Go(func() error { g.updateMembership(workCtx); return nil })
+	group.Go(func() error { g.reach.Run(workCtx); return nil })
 	group.Go(func() error { return g.exchange.Run(workCtx) })
 	select {
 	case <-ctx.Done():
 		stopLeading() // another VM takes over the lease while the open requests complete
-		g.stop(callerServer)
+		g.stop(callerServer, peerServer)
 	case <-workCtx.Done():
 	}
 	stopServing()
@@ -361,8 +378,8 @@
 
 // stop shuts down the caller server without interrupting responses. The readiness check fails
 // first, and all requests are still served while the balancer notices; then the listener closes and
-// the open requests complete.
-func (g *Gateway) stop(callerServer *http.Server) {
+// the open requests complete, and after them those of other VMs.
+func (g *Gateway) stop(callerServer, peerServer *http.Server) {
 	start := time.Now()
 	g.state.stop(clock.Now().Add(g.settings.Grace - stopMargin))
 	g.exchange.Leave()
@@ -374,6 +391,9 @@
 		klog.InfoS("gateway: requests still open at the end of the grace period", "err", err)
 	}
 	g.closeUsage()
+	if err := peerServer.Shutdown(ctx); err != nil {
+		klog.InfoS("gateway: requests of other VMs still open at the end of the grace period", "err", err)
+	}
 	klog.InfoS("gateway: stopped", "took", time.Since(start))
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -62,5 +62,6 @@
 	metrics.WriteGaugeUint64(w, "springweir_endpoint_limits", uint64(limits))
 	metrics.WriteGaugeUint64(w, "springweir_endpoint_backoffs", uint64(backoffs))
 	metrics.WriteGaugeUint64(w, "springweir_peers", uint64(len(g.roster.Others())))
+	metrics.WriteGaugeUint64(w, "springweir_reach_broken_paths", uint64(g.reach.NumBroken()))
 	metrics.WriteGaugeUint64(w, "springweir_uptime_seconds", uint64(time.Since(g.started).Seconds()))
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,6 +29,7 @@
 	}
 	g.exchange.SetPeers(peers)
 	g.quota.SetAddresses(addresses)
+	g.peerAddresses.Store(&addresses)
 	g.budgets.setVMCount(len(vms) + 1)
 }
 
@@ -56,5 +57,6 @@
 		load.Work = nil // its remaining work ends soon, and it accepts no new requests
 	}
 	g.roster.Add(roster.VM{Name: load.Vm, Zone: load.Zone, Capacity: int(load.Strength), Address: load.Address})
+	g.reach.ReceiveImpaired(load.Impaired)
 	g.planner.ReceiveLoad(load)
 }
--- /dev/null
+++ b/gateway/reach.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/hop"
+	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/loadshare"
+	"github.com/springweir/springweir/reach"
+)
+
+// Timeouts of the connections to VMs that pass requests on.
+const (
+	hopConnectTimeout = 200 * time.Millisecond
+	hopMaxIdleTime    = 4 * time.Second
+)
+
+// newReach sets up how attempts reach endpoints. Without a platform that supports it, they are sent
+// directly.
+func (g *Gateway) newReach() {
+	p := g.platform
+	g.reach = reach.NewClient(reach.Config{
+		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.responsiveVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
+		Hop: hop.NewClient(g.settings.VM, h1.Options{Network: g.network, ConnectTimeout: hopConnectTimeout, MaxIdleTime: hopMaxIdleTime}),
+	})
+	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, RequestID: p.RequestID})
+	if p.SetSender != nil {
+		p.SetSender(g.reach)
+	}
+}
+
+// forward sends the request of another VM to an endpoint. That the endpoint refuses the connection
+// counts only if this VM reaches others.
+func (g *Gateway) forward(ctx context.Context, e *directory.Endpoint, out *h1.Request) (*h1.Response, error) {
+	if g.reach.Unreached(e) {
+		return nil, &h1.Error{Cause: reach.ErrUnreached}
+	}
+	response, err := g.platform.Forward(ctx, e, out)
+	if g.refusalIsOwn(ctx, e, err) {
+		return nil, &h1.Error{Cause: reach.ErrUnreached}
+	}
+	return response, err
+}
+
+// connect connects to an endpoint for another VM.
+func (g *Gateway) connect(ctx context.Context, e *directory.Endpoint) error {
+	if g.reach.Unreached(e) {
+		return reach.ErrUnreached
+	}
+	err := g.platform.Direct.Connect(ctx, e)
+	if g.refusalIsOwn(ctx, e, err) {
+		return reach.ErrUnreached
+	}
+	return err
+}
+
+// refusalIsOwn reports whether a refused connection may be due to this VM's network.
+func (g *Gateway) refusalIsOwn(ctx context.Context, e *directory.Endpoint, err error) bool {
+	return errors.Is(err, unix.ECONNREFUSED) && (g.reach.Impaired() || !g.reach.Works(ctx, e))
+}
+
+// isDown reports whether nothing listens at an endpoint's address any more. The failed connection of
+// this VM alone does not show it if another VM can be asked.
+func (g *Gateway) isDown(ctx context.Context, e *directory.Endpoint) bool {
+	return errors.Is(g.reach.Connect(ctx, e), unix.ECONNREFUSED)
+}
+
+// responsiveVMs returns the other VMs that are responsive.
+func (g *Gateway) responsiveVMs() []reach.VM {
+	addresses := *g.peerAddresses.Load()
+	live := g.exchange.Membership().Live
+	vms := make([]reach.VM, 0, len(live))
+	for _, m := range live {
+		if address, known := addresses[m.Name]; known {
+			vms = append(vms, reach.VM{Peer: hop.Peer{Name: m.Name, Address: address}, Zone: m.Zone})
+		}
+	}
+	return vms
+}
+
+// localReport returns this VM's load report.
+func (g *Gateway) localReport() loadshare.Report {
+	report := g.planner.LocalReport()
+	if g.reach.Impaired() {
+		report.Impaired = []uint32{loadshare.Hash(g.settings.VM)}
+	}
+	return report
+}
+
+// servePeer serves the requests of other VMs: those for endpoints, and the others, which mux serves.
+func (g *Gateway) servePeer(mux http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case !hop.Addressed(r):
+			mux.ServeHTTP(w, r)
+		case g.state.isStopping():
+			hop.EchoAttempt(w.Header(), r.Header)
+			w.Header().Set("Connection", "close")
+			_ = hop.WriteFailure(w, &failure.Request{Code: failure.Stopping, Ran: failure.NotRun, Message: "this VM is about to stop"})
+		default:
+			g.hop.ServeHTTP(w, r)
+		}
+	})
+}
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		ex.abort()
 		if reused && timedOut(ctx, err) {
-			p.dropIdle()
+			p.DropIdle()
 		}
 		return nil, &Error{Sent: true, Reused: reused, Cause: contextCause(ctx, err)}
 	}
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -115,9 +115,16 @@
 	closeAll(idle)
 }
 
-// dropIdle closes all idle connections. Existing connections may become unresponsive
+// HasIdle reports whether there are idle connections. Some may be closed by now.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
+// DropIdle closes all idle connections. Existing connections may become unresponsive
 // together, without a reset, while new ones work; detecting each one would cost a request.
-func (p *Pool) dropIdle() {
+func (p *Pool) DropIdle() {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
--- a/loadshare/aggregate.go
+++ b/loadshare/aggregate.go
@@ -66,7 +66,7 @@
 func (a *loadAggregate) sum(now time.Time, local Report) Report {
 	total := totals{}
 	total.add(local.Work)
-	changing, refusing := slices.Clone(local.Changing), slices.Clone(local.Refusing)
+	changing, refusing, impaired := slices.Clone(local.Changing), slices.Clone(local.Refusing), slices.Clone(local.Impaired)
 	for key, l := range a.loads {
 		if now.Sub(l.receivedAt) > TTL {
 			delete(a.loads, key)
@@ -75,12 +75,14 @@
 		total.add(l.load.Work)
 		changing = append(changing, l.load.Changing...)
 		refusing = append(refusing, l.load.Refusing...)
+		impaired = append(impaired, l.load.Impaired...)
 	}
 	slices.Sort(changing)
 	slices.Sort(refusing)
+	slices.Sort(impaired)
 	placed := append(a.placed, local.Placed...)
 	a.placed = nil
-	return Report{Work: total.list(), Placed: placed, Changing: slices.Compact(changing), Refusing: slices.Compact(refusing)}
+	return Report{Work: total.list(), Placed: placed, Changing: slices.Compact(changing), Refusing: slices.Compact(refusing), Impaired: slices.Compact(impaired)}
 }
 
 // without returns a report less the work of one VM, which has more recent data on its own work.
@@ -112,6 +114,7 @@
 	return Report{
 		Work: sum.list(), Placed: slices.Concat(r.Placed, o.Placed),
 		Changing: slices.Concat(r.Changing, o.Changing), Refusing: slices.Concat(r.Refusing, o.Refusing),
+		Impaired: slices.Concat(r.Impaired, o.Impaired),
 	}
 }
 
--- a/loadshare/datagrams.go
+++ b/loadshare/datagrams.go
@@ -1,6 +1,8 @@
 package loadshare
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/springweir/springweir/internal/clock"
@@ -56,12 +58,26 @@
 func (x *Exchange) newLoad(r Report, scope loadScope) *sharepb.Load {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	load := &sharepb.Load{Changing: r.Changing, Refusing: r.Refusing, ZoneSum: scope == scopeZone, RegionSum: scope == scopeRegion}
+	load := &sharepb.Load{Changing: r.Changing, Refusing: r.Refusing, Impaired: someOf(r.Impaired, x.sequence), ZoneSum: scope == scopeZone, RegionSum: scope == scopeRegion}
 	load.Silent = x.region.unresponsiveHashes(clock.Now(), scope)
 	x.setSender(load)
 	return load
 }
 
+// maxImpaired bounds the impaired VMs that one datagram lists: 400 bytes. Later datagrams list the
+// others.
+const maxImpaired = 100
+
+// someOf returns at most maxImpaired elements of a list, from a position that advances with the
+// sequence number of the datagram.
+func someOf(list []uint32, sequence uint64) []uint32 {
+	if len(list) <= maxImpaired {
+		return list
+	}
+	start := int(sequence * maxImpaired % uint64(len(list)))
+	return slices.Concat(list[start:], list[:start])[:maxImpaired]
+}
+
 // setSender fills in the sender's fields of a datagram, and the next sequence number. The caller
 // holds mu.
 func (x *Exchange) setSender(load *sharepb.Load) {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -107,11 +107,14 @@
 	Changing []uint32
 	// Refusing lists the endpoints that keep refusing requests.
 	Refusing []uint32
+	// Impaired lists VMs that do not reach several endpoints, by the hash of
+	// their names.
+	Impaired []uint32
 }
 
 // empty reports whether the report has no content.
 func (r *Report) empty() bool {
-	return len(r.Work) == 0 && len(r.Placed) == 0 && len(r.Changing) == 0 && len(r.Refusing) == 0
+	return len(r.Work) == 0 && len(r.Placed) == 0 && len(r.Changing) == 0 && len(r.Refusing) == 0 && len(r.Impaired) == 0
 }
 
 // Exchange sends this VM's load to its peers and receives theirs. It is safe for concurrent use. No
--- /dev/null
+++ b/reach/errors.go
@@ -0,0 +1,37 @@
+package reach
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/springweir/springweir/failure"
+)
+
+// Error reports that the endpoint was not reached, or did not respond through another VM.
+type Error struct {
+	// VM is the name of the other VM, if there is one, and Code the reason.
+	VM      string
+	Code    failure.Reason
+	Message string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.VM == "" {
+		return e.Message
+	}
+	return fmt.Sprintf("through VM %s: %s", e.VM, e.Message)
+}
+
+// Reason implements failure.Coded.
+func (e *Error) Reason() failure.Reason { return e.Code }
+
+// countHop counts the requests that were sent through another VM.
+func countHop(v verdict) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_reach_hops_total{outcome=%q}`, v)).Inc()
+}
+
+// ErrUnreached reports that an endpoint, which may be up, is not reached by this VM, nor by others if
+// they were asked.
+var ErrUnreached = &Error{Code: failure.EndpointUnreachable, Message: "the endpoint is not reached"}
--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,210 @@
+// Package reach sends requests to endpoints, directly or through another VM.
+//
+// A VM may lose the way to endpoints that other VMs reach. The Tracker records the endpoints whose
+// direct path is broken, and which VMs to ask instead. It is a pure state machine over times passed
+// in by the caller. The Client sends a request directly if it can, otherwise through another VM, and
+// checks in the background whether broken paths have healed.
+package reach
+
+import (
+	"time"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/hop"
+	"github.com/springweir/springweir/loadshare"
+)
+
+const (
+	// minImpaired is the number of broken paths from which a VM is impaired. One may be a fault of the
+	// endpoint's.
+	minImpaired = 2
+	// impairedTTL is how long a VM counts as impaired after its last report.
+	impairedTTL = loadshare.TTL
+	// unreachedTTL is how long a VM that did not reach an endpoint is not asked for it again.
+	unreachedTTL = time.Second
+	// unresponsiveTTL is how long a VM that could not be reached itself is not asked.
+	unresponsiveTTL = time.Second
+	// busyTTL is how long a VM that passes on too many requests is not asked.
+	busyTTL = 100 * time.Millisecond
+	// stoppingTTL is how long a VM that is about to stop is not asked. By then it has stopped.
+	stoppingTTL = 10 * time.Second
+	// minCheckInterval is the time until a broken path is checked for the first time. It doubles with
+	// each failed check up to maxCheckInterval.
+	minCheckInterval = 250 * time.Millisecond
+	maxCheckInterval = time.Second
+)
+
+// VM is another VM that may pass requests on.
+type VM struct {
+	hop.Peer
+	Zone string
+}
+
+// path is the broken direct path to one incarnation of an endpoint.
+type path struct {
+	endpoint *directory.Endpoint
+	// checkAt is when the path is to be checked next, and interval the time between checks.
+	checkAt  time.Time
+	interval time.Duration
+}
+
+// avoidance identifies what a VM is not asked for: requests to one endpoint, or to all if it is empty.
+type avoidance struct{ vm, endpoint string }
+
+// Tracker records broken paths and the VMs that may help. It is not safe for concurrent use.
+type Tracker struct {
+	zone string
+	// broken holds the broken paths by the incarnation of the endpoint.
+	broken map[string]*path
+	// impaired holds the VMs that reported to be impaired, by the hash of their names, and when.
+	impaired map[uint32]time.Time
+	// avoided holds what VMs are not asked for, and until when.
+	avoided map[avoidance]time.Time
+}
+
+// NewTracker returns the tracker of a VM in an availability zone. All paths are open.
+func NewTracker(zone string) *Tracker {
+	return &Tracker{zone: zone, broken: map[string]*path{}, impaired: map[uint32]time.Time{}, avoided: map[avoidance]time.Time{}}
+}
+
+// Broken reports whether the direct path to an endpoint is broken.
+func (t *Tracker) Broken(e *directory.Endpoint) bool {
+	return len(t.broken) > 0 && t.broken[e.Incarnation()] != nil
+}
+
+// SetBroken records that the direct path to an endpoint is broken. It reports whether that is new.
+func (t *Tracker) SetBroken(now time.Time, e *directory.Endpoint) bool {
+	if t.Broken(e) {
+		return false
+	}
+	t.broken[e.Incarnation()] = &path{endpoint: e, checkAt: now.Add(minCheckInterval), interval: minCheckInterval}
+	return true
+}
+
+// SetOpen records that the direct path to an endpoint is open. It reports whether it was broken.
+func (t *Tracker) SetOpen(e *directory.Endpoint) bool {
+	wasBroken := t.Broken(e)
+	delete(t.broken, e.Incarnation())
+	return wasBroken
+}
+
+// NumBroken returns the number of broken paths.
+func (t *Tracker) NumBroken() int { return len(t.broken) }
+
+// Impaired reports whether the VM does not reach several endpoints, so that others should be asked
+// first to pass requests on.
+func (t *Tracker) Impaired() bool { return len(t.broken) >= minImpaired }
+
+// Due returns at most limit endpoints whose paths are to be checked now, and schedules their next
+// checks.
+func (t *Tracker) Due(now time.Time, limit int) []*directory.Endpoint {
+	var due []*directory.Endpoint
+	for _, p := range t.broken {
+		if len(due) == limit {
+			break
+		}
+		if now.Before(p.checkAt) {
+			continue
+		}
+		p.interval = min(2*p.interval, maxCheckInterval)
+		p.checkAt = now.Add(p.interval)
+		due = append(due, p.endpoint)
+	}
+	return due
+}
+
+// Retain removes the paths to endpoints that are not registered any more, and what has expired.
+func (t *Tracker) Retain(now time.Time, registered func(*directory.Endpoint) bool) {
+	for incarnation, p := range t.broken {
+		if !registered(p.endpoint) {
+			delete(t.broken, incarnation)
+		}
+	}
+	for key, until := range t.avoided {
+		if !now.Before(until) {
+			delete(t.avoided, key)
+		}
+	}
+	for hash, at := range t.impaired {
+		if now.Sub(at) >= impairedTTL {
+			delete(t.impaired, hash)
+		}
+	}
+}
+
+// ReceiveImpaired records a report of VMs that are impaired.
+func (t *Tracker) ReceiveImpaired(now time.Time, hashes []uint32) {
+	for _, hash := range hashes {
+		t.impaired[hash] = now
+	}
+}
+
+// Avoid records that a VM is not asked for an endpoint, or for any if e is nil, for a time.
+func (t *Tracker) Avoid(now time.Time, vm string, e *directory.Endpoint, ttl time.Duration) {
+	t.avoided[avoidanceOf(vm, e)] = now.Add(ttl)
+}
+
+func avoidanceOf(vm string, e *directory.Endpoint) avoidance {
+	if e == nil {
+		return avoidance{vm: vm}
+	}
+	return avoidance{vm: vm, endpoint: e.Incarnation()}
+}
+
+// Choose returns at most n of the VMs to ask, one after the other, to pass a request to an endpoint:
+// in turn one of this zone, one of the endpoint's and one of another, since the VMs of a zone may
+// have lost the way to the endpoint together, and impaired ones last. The VMs of a group keep their
+// order.
+func (t *Tracker) Choose(now time.Time, e *directory.Endpoint, vms []VM, n int) []VM {
+	var groups [numGroups][]VM
+	for _, vm := range vms {
+		if now.Before(t.avoided[avoidanceOf(vm.Name, nil)]) || now.Before(t.avoided[avoidanceOf(vm.Name, e)]) {
+			continue
+		}
+		g := t.groupOf(now, e, vm)
+		groups[g] = append(groups[g], vm)
+	}
+	chosen := interleave(n, groups[:impairedVMs])
+	return append(chosen, interleave(n-len(chosen), groups[impairedVMs:])...)
+}
+
+// interleave returns the first n elements of the lists, taken in turn.
+func interleave(n int, lists [][]VM) []VM {
+	var chosen []VM
+	for i, more := 0, true; more; i++ {
+		more = false
+		for _, list := range lists {
+			if i < len(list) && len(chosen) < n {
+				chosen, more = append(chosen, list[i]), true
+			}
+		}
+	}
+	return chosen
+}
+
+// The groups of VMs in the order in which they are asked.
+const (
+	ownZone = iota
+	endpointZone
+	otherZones
+	impairedVMs
+	numGroups
+)
+
+func (t *Tracker) groupOf(now time.Time, e *directory.Endpoint, vm VM) int {
+	switch {
+	case t.isImpaired(now, vm.Name):
+		return impairedVMs
+	case vm.Zone == t.zone:
+		return ownZone
+	case vm.Zone == e.Zone:
+		return endpointZone
+	}
+	return otherZones
+}
+
+// isImpaired reports whether a VM has reported to be impaired.
+func (t *Tracker) isImpaired(now time.Time, vm string) bool {
+	at, reported := t.impaired[loadshare.Hash(vm)]
+	return reported && now.Sub(at) < impairedTTL
+}
