feedshare: lists carry the table's present version

Cause: a reader kept the encoded response to a query for the whole table, version included, until rows changed. The table's version also grows without changes of its rows, as with a write to another table. A VM that had this version from an empty poll and read the table again got an earlier one, refused it (BehindError) and read the whole table from the store.

Change: the cache keeps the encoded rows only; the version is encoded for each response and written after them, without a copy of the rows. The bytes on the wire are those of one message, as before (TestGoldenMessages, unchanged). The simulation of a zone reads tables from a VM by encodedList, as the server does; cache.list, which only tests called, is gone. The tests that called it check the same of encodedList.

server.List stays: the generated interface feedpb.Feed requires it.

--- a/feedshare/cache.go
+++ b/feedshare/cache.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -37,8 +36,9 @@
 	confirmed time.Time
 	// changed is closed and replaced at every change of the fields above.
 	changed chan struct{}
-	// encoded is the response to a query for the whole table; nil if none was encoded since rows changed.
-	encoded []byte
+	// encodedRows holds the rows as a response carries them; nil if they were not encoded since they
+	// changed. Responses in flight share it: it is replaced, never modified.
+	encodedRows []byte
 	// lastQueried is the time of the last query by a peer.
 	lastQueried time.Time
 }
@@ -71,7 +71,7 @@
 		c.rows[row.Key.Row] = row
 	}
 	c.history, c.historyStart, c.version = nil, version, version
-	c.encoded = nil
+	c.encodedRows = nil
 	c.setConfirmed(confirmedAt)
 }
 
@@ -88,7 +88,7 @@
 	}
 	c.version = max(c.version, after, next)
 	if len(changes) > 0 {
-		c.encoded = nil
+		c.encodedRows = nil
 		c.history = append(c.history, batch{changes: changes, version: c.version})
 	}
 	if excess := len(c.history) - maxHistoryBatches; excess > 0 {
@@ -123,28 +123,21 @@
 // fresh reports whether the cached table is recent enough to be served. The caller holds mu.
 func (c *cache) fresh() bool { return c.confirmed != unconfirmed && clock.Since(c.confirmed) <= c.ttl }
 
-// list returns the whole table. Before the first read from the store it waits up to startupWait.
-func (c *cache) list(ctx context.Context, name string) (rows []table.Row, version table.Version, err error) {
-	err = c.whenFresh(ctx, name, func() {
-		rows, version = slices.Collect(maps.Values(c.rows)), c.version
-	})
-	return rows, version, err
-}
-
-// encodedList returns the response to a query for the whole table. All queries share one copy: when a
-// fleet starts, hundreds of VMs ask within a second.
-func (c *cache) encodedList(ctx context.Context, name string) (encoded []byte, err error) {
+// encodedList returns the whole table: its encoded rows, which the caller must not modify, and its
+// version. All queries share one copy of the rows: when a fleet starts, hundreds of VMs ask within a
+// second. The version is apart from them, because it also grows without changes of the rows.
+func (c *cache) encodedList(ctx context.Context, name string) (rows []byte, version table.Version, err error) {
 	var encodeErr error
 	err = c.whenFresh(ctx, name, func() {
-		if c.encoded == nil {
-			c.encoded, encodeErr = encodeList(c.rows, c.version)
+		if c.encodedRows == nil {
+			c.encodedRows, encodeErr = encodeRows(c.rows)
 		}
-		encoded = c.encoded
+		rows, version = c.encodedRows, c.version
 	})
-	if err != nil {
-		return nil, err
+	if err == nil {
+		err = encodeErr
 	}
-	return encoded, encodeErr
+	return rows, version, err
 }
 
 // whenFresh calls f, with mu held, while the table may be served. Before the first read from the store it
--- a/feedshare/client.go
+++ b/feedshare/client.go
@@ -65,11 +65,7 @@
 	if err != nil {
 		return nil, 0, errorFromTwirp(address, name, 0, err)
 	}
-	rows := make([]table.Row, len(response.Rows))
-	for i, row := range response.Rows {
-		rows[i] = rowFromProto(name, row)
-	}
-	return rows, table.Version(response.Version), nil
+	return rowsFromProto(name, response.Rows), table.Version(response.Version), nil
 }
 
 // Changes implements Peers.
@@ -91,6 +87,14 @@
 	return changes, table.Version(response.Version), nil
 }
 
+func rowsFromProto(name string, encoded []*feedpb.Row) []table.Row {
+	rows := make([]table.Row, len(encoded))
+	for i, row := range encoded {
+		rows[i] = rowFromProto(name, row)
+	}
+	return rows
+}
+
 func rowFromProto(name string, row *feedpb.Row) table.Row {
 	r := table.Row{Key: table.Key{Table: name, Row: row.GetKey()}, Version: table.Version(row.GetVersion())}
 	if row != nil && len(row.Value) > 0 {
--- a/feedshare/follow_test.go
+++ b/feedshare/follow_test.go
@@ -225,7 +225,7 @@
 	runZone(t, 3, func(z *zone) {
 		z.put("a", "1")
 		time.Sleep(10 * time.Second)
-		_, _, err := z.vms[2].source.cache.list(context.Background(), "t")
+		_, _, err := z.vms[2].source.cache.encodedList(context.Background(), "t")
 		var notReader *NotReaderError
 		if !errors.As(err, &notReader) {
 			t.Errorf("a VM that reads from another VM serves the table: %v", err)
--- a/feedshare/server.go
+++ b/feedshare/server.go
@@ -38,7 +38,7 @@
 // maxListRequest bounds the size of a query for a whole table, in bytes.
 const maxListRequest = 4096
 
-// serveList serves List as the twirp server would, with a response that is encoded once for all.
+// serveList serves List as the twirp server would, with rows that are encoded once for all queries.
 func (s *server) serveList(w http.ResponseWriter, r *http.Request) {
 	var request feedpb.ListRequest
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxListRequest))
@@ -54,18 +54,33 @@
 		writeError(w, noSuchTable(request.Table))
 		return
 	}
-	encoded, err := source.cache.encodedList(r.Context(), request.Table)
+	rows, version, err := source.cache.encodedList(r.Context(), request.Table)
 	if err != nil {
 		writeError(w, twirpError(err))
 		return
 	}
-	w.Header().Set("Content-Type", "application/protobuf")
-	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
-	if _, err := w.Write(encoded); err != nil {
+	encodedVersion, err := encodeVersion(version)
+	if err != nil {
+		writeError(w, twirpError(err))
+		return
+	}
+	if err := writeList(w, rows, encodedVersion); err != nil {
 		klog.V(1).InfoS("feedshare: the VM that asked for a table has gone", "table", request.Table, "err", err)
 	}
 }
 
+// writeList writes a response whose fields are encoded apart. Encoded fields that follow each other
+// are one message; rows are not copied for it.
+func writeList(w http.ResponseWriter, rows, version []byte) error {
+	w.Header().Set("Content-Type", "application/protobuf")
+	w.Header().Set("Content-Length", strconv.Itoa(len(rows)+len(version)))
+	if _, err := w.Write(rows); err != nil {
+		return err
+	}
+	_, err := w.Write(version)
+	return err
+}
+
 func writeError(w http.ResponseWriter, err twirp.Error) {
 	if writeErr := twirp.WriteError(w, err); writeErr != nil {
 		klog.V(1).InfoS("feedshare: the VM that asked has gone", "err", writeErr)
@@ -74,27 +89,34 @@
 
 func noSuchTable(name string) twirp.Error { return twirp.NotFoundError("no such table: " + name) }
 
-// encodeList encodes the response to a query for a whole table.
-func encodeList(rows map[string]table.Row, version table.Version) ([]byte, error) {
-	response := &feedpb.ListResponse{Version: uint64(version)}
+// encodeRows encodes the rows of a response to a query for a whole table.
+func encodeRows(rows map[string]table.Row) ([]byte, error) {
+	response := &feedpb.ListResponse{}
 	for _, row := range rows {
 		response.Rows = append(response.Rows, rowToProto(row))
 	}
 	return proto.Marshal(response)
 }
 
-// List implements feedpb.Feed for clients of other encodings; see serveList.
+// encodeVersion encodes the version of a response to a query for a whole table.
+func encodeVersion(version table.Version) ([]byte, error) {
+	return proto.Marshal(&feedpb.ListResponse{Version: uint64(version)})
+}
+
+// List implements feedpb.Feed. Handler routes the queries to serveList instead.
 func (s *server) List(ctx context.Context, r *feedpb.ListRequest) (*feedpb.ListResponse, error) {
 	source := s.sources[r.Table]
 	if source == nil {
 		return nil, noSuchTable(r.Table)
 	}
-	encoded, err := source.cache.encodedList(ctx, r.Table)
+	rows, version, err := source.cache.encodedList(ctx, r.Table)
 	if err != nil {
 		return nil, twirpError(err)
 	}
 	response := &feedpb.ListResponse{}
-	return response, proto.Unmarshal(encoded, response)
+	err = proto.Unmarshal(rows, response)
+	response.Version = uint64(version)
+	return response, err
 }
 
 // Changes implements feedpb.Feed.
--- a/feedshare/zonesim_test.go
+++ b/feedshare/zonesim_test.go
@@ -11,6 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/springweir/springweir/feedshare/feedpb"
 	"github.com/springweir/springweir/table"
 	"github.com/springweir/springweir/table/memtable"
 )
@@ -285,11 +288,18 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	rows, version, err := peer.source.cache.list(ctx, name)
+	rows, version, err := peer.source.cache.encodedList(ctx, name)
+	if err != nil {
+		return nil, 0, err
+	}
+	var response feedpb.ListResponse
+	if err := proto.Unmarshal(rows, &response); err != nil {
+		return nil, 0, err
+	}
 	if peer.hasFault(stale) {
 		version--
 	}
-	return rows, version, err
+	return rowsFromProto(name, response.Rows), version, nil
 }
 
 func (p vmPeers) Changes(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
