clock: a test without a data race

go test -race failed in TestDeadlinesAcrossSuspension: the watcher read the simulated suspension and the clock while the test wrote them. The checks are the same.

--- a/internal/clock/alarm_test.go
+++ b/internal/clock/alarm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,9 +13,10 @@
 // A later deadline is not delayed by the suspension.
 func TestDeadlinesAcrossSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var suspended time.Duration
-		defer Simulate(func() time.Duration { return suspended })()
+		var suspended atomic.Int64 // nanoseconds
+		defer Simulate(func() time.Duration { return time.Duration(suspended.Load()) })()
 		watching, stop := context.WithCancel(t.Context())
+		defer func() { stop(); synctest.Wait() }()
 		go Watch(watching)
 		start := time.Now()
 		short, cancelShort := WithTimeout(t.Context(), 5*time.Second)
@@ -24,7 +26,7 @@
 		child, cancelChild := context.WithCancel(short)
 		defer cancelChild()
 		time.Sleep(time.Second)
-		suspended = 10 * time.Second
+		suspended.Store(int64(10 * time.Second))
 		<-child.Done()
 		if got := time.Since(start); got > time.Second+watchPeriod {
 			t.Errorf("the short context ended %v after its start, the VM resumed after a second", got)
@@ -33,10 +35,9 @@
 			t.Errorf("ended with %v, its child with cause %v", short.Err(), context.Cause(child))
 		}
 		<-long.Done()
-		if got := time.Since(start) + suspended; got != 15*time.Second {
+		if got := time.Since(start) + time.Duration(suspended.Load()); got != 15*time.Second {
 			t.Errorf("the long context ended after %v, want 15s", got)
 		}
-		stop()
 	})
 }
 
