relay: hand a silent attempt over to a prepared one, and end released streams at once

Cause: a held stream ended only when its replacement had ended, so it counted as held (the replacement could not be replaced) and its endpoint as sound and loaded. Its attempt was counted twice against the route, a replacement that was not sent used up a retry and was tried again without a pause, and an event of the silent engine cancelled a replacement that was running. Before a response, Available promised plans and retries that several requests then shared or that Plan refused.

Change: - A released stream (head of the replacement, or 250 ms after that was sent) is finished at once, by whichever goroutine releases it. - Once a replacement was sent it has precedence. The silent stream then goes on only if the replacement did not run, responded with a complete error, or lost its connection before a response. A complete response of the silent engine still ends the replacement. - The silent attempt counts once; a replacement that was not sent uses no attempt, and its retry is kept for the next one. 50 ms between replacements, maxReplans and the limit of endpoints apply, a final withdrawal ends the trying. - The watchdog's condition reserves the plan and takes the retry, on the current route (relay/handoff.go); the next attempt checks route and guard again. Before the head, a stream follows a changed route in the same way. - An endpoint that was silent for 1.5 s until the deadline is reported as failed. Only silence seen by the periodic checks counts. - The overlap timer counts for one hold. The limit of a fallback response does not apply to a stream that goes on. A held endpoint counts as tried. The cause of a replacement that was withdrawn because the stream goes on is stream-resumed. - placement compares when an endpoint was heard by time since the planner's start.

Planner.Available is removed, with TestAvailableReservesNothing and TestAvailablePromisesNoRefusedPlan, whose subject it is: TestStalledAttemptIsNotAbandonedForRefusedPlan and TestStalledRequestsShareOneRetry state the property for real plans. Budget.Available stays: it avoids a plan every 50 ms for each silent request while no retry is left.

--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -48,16 +48,19 @@
 	// pausedUntil is the end of the pause after a refusal, and refusals counts consecutive ones.
 	pausedUntil time.Time
 	refusals    int
-	// heardAt is when the endpoint last sent this VM a response or an event, in Unix nanoseconds.
+	// heardAt is when the endpoint last sent this VM a response or an event, in nanoseconds since the
+	// planner's start: steps of the clock do not affect it.
 	heardAt atomic.Int64
 }
 
 // recordHeard records that the endpoint has sent something. It takes no lock, since each event of a
 // stream calls it.
-func (e *endpointLoad) recordHeard(now time.Time) { e.heardAt.Store(now.UnixNano()) }
+func (e *endpointLoad) recordHeard(sinceStart time.Duration) { e.heardAt.Store(int64(sinceStart)) }
 
-// heardSince reports whether the endpoint has sent something after a time.
-func (e *endpointLoad) heardSince(t time.Time) bool { return e.heardAt.Load() > t.UnixNano() }
+// heardSince reports whether the endpoint has sent something after a time since the planner's start.
+func (e *endpointLoad) heardSince(sinceStart time.Duration) bool {
+	return e.heardAt.Load() > int64(sinceStart)
+}
 
 const (
 	// minPause is the pause after a first refusal. It doubles with each consecutive one, up to
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -185,15 +185,6 @@
 	}
 }
 
-// Available implements relay.Planner.
-func (p *Planner) Available(r *relay.Request, prior relay.AttemptState) bool {
-	changing := p.roleChanges()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.newDecision(r, prior, changing)
-	return len(d.usable(slices.Concat(changing, prior.Tried))) > 0
-}
-
 // newDecision returns a decision on the current state. The caller holds mu.
 func (p *Planner) newDecision(r *relay.Request, prior relay.AttemptState, changing []string) *decision {
 	service := p.config().Service(r.Service)
@@ -249,7 +240,7 @@
 
 // isUnheard reports whether an endpoint has sent nothing since the time that the request requires.
 func (d *decision) isUnheard(e *directory.Endpoint) bool {
-	return !d.prior.HeardSince.IsZero() && !d.p.loads.get(e).heardSince(d.prior.HeardSince)
+	return !d.prior.HeardSince.IsZero() && !d.p.loads.get(e).heardSince(d.prior.HeardSince.Sub(d.p.start))
 }
 
 func noEndpoint(message string, retryAfter time.Duration) *failure.Request {
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -90,7 +90,7 @@
 	defer w.p.mu.Unlock()
 	w.p.finishPrefill(w.prefill, failed)
 	if failed == nil {
-		w.prefill.load.recordHeard(w.p.now())
+		w.prefill.load.recordHeard(w.p.now().Sub(w.p.start))
 		w.prefill.load.cache.insert(w.chunks, w.p.now())
 	}
 	w.p.finish(w.prefill, failed, abandoned)
@@ -101,7 +101,7 @@
 	w.p.mu.Lock()
 	defer w.p.mu.Unlock()
 	w.p.health.RecordActivity(w.serve.ticket)
-	w.serve.load.recordHeard(w.p.now())
+	w.serve.load.recordHeard(w.p.now().Sub(w.p.start))
 	observePrediction(w.predicted, w.p.now().Sub(w.placedAt))
 	if w.serve.work.prefill.tokens > 0 {
 		w.p.finishPrefill(w.serve, nil)
@@ -112,7 +112,7 @@
 }
 
 // Event implements relay.Watch.
-func (w *attemptWatch) Event() { w.serve.load.recordHeard(w.p.now()) }
+func (w *attemptWatch) Event() { w.serve.load.recordHeard(w.p.now().Sub(w.p.start)) }
 
 // Finished implements relay.Watch.
 func (w *attemptWatch) Finished(failed *failure.Request, abandoned bool) {
--- a/relay/eventstream.go
+++ b/relay/eventstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"sync"
 	"time"
 
@@ -22,17 +23,28 @@
 	// begun is set once an event was forwarded, and heardAt is when the endpoint last sent one, or the head.
 	begun   bool
 	heardAt time.Time
+	// silence is how long the endpoint had been silent at the last check, since it last sent an event.
+	silence time.Duration
 	// resumesRun is set if the attempt resumes a run on its backup, and counted once the attempt was
 	// counted.
 	resumesRun, counted bool
-	items               chan streamItem
-	closed              chan struct{}
+	// hasFallback is set if an error response was kept as fallback before the attempt was sent.
+	hasFallback bool
+	// replaceableAt is when the stream may be replaced again after a failed replacement, and final is
+	// set if it must not be replaced again.
+	replaceableAt time.Time
+	final         bool
+	items         chan streamItem
+	closed        chan struct{}
 
 	// mu guards the fields below. It is a leaf lock.
 	mu    sync.Mutex
 	phase streamPhase
-	// cancelReplacement ends the attempt that is to replace this one; set while the stream is held.
-	cancelReplacement func()
+	// cancelReplacement ends the attempt that is to replace this one, and released is called once if
+	// the stream is given up in favour of it. Both are set while the stream is held.
+	cancelReplacement, released func()
+	// holds counts how often the stream was held.
+	holds int
 }
 
 // streamItem is an event or the end of a stream.
@@ -47,9 +59,12 @@
 const (
 	// forwarding means that the events are forwarded to the caller.
 	forwarding streamPhase = iota
-	// held means that the endpoint is silent and a replacement is being tried.
+	// held means that the endpoint is silent and a replacement is prepared, but not yet sent.
 	held
-	// resumed means that the endpoint has sent an event while the stream was held.
+	// overlapping means that the replacement was sent and has precedence.
+	overlapping
+	// resumed means that the endpoint has sent an event while the stream was held, or has completed
+	// its response.
 	resumed
 	// ended means that the stream was closed.
 	ended
@@ -72,7 +87,6 @@
 			return
 		}
 		e.raw = bytes.Clone(e.raw)
-		s.resume()
 		if !s.pass(streamItem{event: e}) {
 			s.response.Close()
 			return
@@ -82,6 +96,9 @@
 
 // pass passes an item on and reports whether the stream is still open.
 func (s *openStream) pass(item streamItem) bool {
+	if s.offer(item) {
+		return true
+	}
 	select {
 	case s.items <- item:
 		return true
@@ -90,6 +107,23 @@
 	}
 }
 
+// offer passes an item on if no other one is waiting, and reports whether it did. The item may end the
+// replacement of a held stream.
+func (s *openStream) offer(item streamItem) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case s.items <- item:
+	default:
+		return false
+	}
+	if s.phase == held && (item.err == nil || item.err == io.EOF) || s.phase == overlapping && item.err == io.EOF {
+		s.phase = resumed
+		s.cancelReplacement()
+	}
+	return true
+}
+
 // close closes the response and its connection, unless the response has ended.
 func (s *openStream) close() {
 	s.mu.Lock()
@@ -107,38 +141,67 @@
 	s.dog.Stop()
 }
 
-// hold keeps the stream open while a replacement is tried. If an event arrives meanwhile, it calls
-// cancelReplacement.
-func (s *openStream) hold(cancelReplacement func()) {
+// hold keeps the stream open while a replacement is tried. If an event arrives before that was sent, it
+// calls cancelReplacement. If the stream is given up, it calls released.
+func (s *openStream) hold(cancelReplacement, released func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.holds++
 	if len(s.items) > 0 {
 		s.phase = resumed
 		cancelReplacement()
 		return
 	}
-	s.phase, s.cancelReplacement = held, cancelReplacement
+	s.phase, s.cancelReplacement, s.released = held, cancelReplacement, released
 }
 
-// resume ends the replacement of a held stream because the endpoint has sent an event.
-func (s *openStream) resume() {
+// startOverlap releases the stream after maxOverlap, since its replacement is sent now. It returns false
+// if the stream has gone on before.
+func (s *openStream) startOverlap() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.phase == held {
-		s.phase = resumed
-		s.cancelReplacement()
+	if s.phase != held {
+		return false
 	}
+	s.phase = overlapping
+	hold := s.holds
+	time.AfterFunc(maxOverlap, func() { s.releaseHold(hold) })
+	return true
 }
 
 // release closes a held stream in favour of its replacement, and reports whether the stream is
-// closed. It is not if an event has arrived before.
-func (s *openStream) release() bool {
+// closed. It is not if it has gone on before.
+func (s *openStream) release() bool { return s.releaseHold(anyHold) }
+
+// anyHold stands for whichever hold of a stream is current.
+const anyHold = 0
+
+// releaseHold releases the stream if it is held for the nth time.
+func (s *openStream) releaseHold(n int) bool {
+	closed, released := s.endHold(n)
+	if released != nil {
+		released()
+	}
+	return closed
+}
+
+// endHold closes the stream if it is held for the nth time, and returns the function that reports this.
+// It also reports whether the stream is closed.
+func (s *openStream) endHold(n int) (closed bool, released func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.phase == held {
+	if (n == anyHold || n == s.holds) && (s.phase == held || s.phase == overlapping) {
 		s.end()
+		return true, s.released
 	}
-	return s.phase == ended
+	return s.phase == ended, nil
+}
+
+// isHeld reports whether the stream is open and may go on.
+func (s *openStream) isHeld() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase != ended
 }
 
 // reclaim ends the holding of a stream and reports whether it is still open.
@@ -149,5 +212,6 @@
 		return false
 	}
 	s.phase = forwarding
+	s.holds++ // the timer of this hold has no effect any more
 	return true
 }
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -21,7 +21,7 @@
 	// Started is called just before an attempt or a separate prefill is sent.
 	Started(r *Request, e *directory.Endpoint)
 	// Ended is called at the end of each attempt and separate prefill, also of one that was not
-	// sent.
+	// sent, from any goroutine.
 	Ended(r *Request, e *directory.Endpoint, end RunEnd)
 }
 
@@ -74,9 +74,12 @@
 
 // reportEnd reports to the guard how an attempt on an endpoint ended.
 func (j *job) reportEnd(ctx context.Context, e *directory.Endpoint, failed *failure.Request) {
-	j.relay.cfg.Guard.Ended(j.req, e, RunEnd{Outcome: runOutcome(ctx, failed), Streaming: j.result.Events > 0 || j.lastEventID > 0})
+	j.relay.cfg.Guard.Ended(j.req, e, RunEnd{Outcome: runOutcome(ctx, failed), Streaming: j.streaming()})
 }
 
+// streaming reports whether the request has produced events, in this attempt or an earlier one.
+func (j *job) streaming() bool { return j.result.Events > 0 || j.lastEventID > 0 }
+
 // runOutcome classifies the end of an attempt; a nil failure is a success.
 func runOutcome(ctx context.Context, failed *failure.Request) RunOutcome {
 	switch {
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -22,6 +22,8 @@
 	switch {
 	case ctx.Err() != nil, failed.Code == failure.CallerGone:
 		return failed
+	case j.next != nil:
+		return nil
 	case j.triedEnough():
 		return failed
 	case j.resumeFromBackup(ctx, failed):
@@ -32,7 +34,7 @@
 		return nil
 	case j.result.Attempts >= max(1, j.req.Route.MaxAttempts):
 		return failed
-	case !j.relay.cfg.Budget(j.req.Service).Take():
+	case !j.takeRetry():
 		countRefusedRetry(failure.RetryBudget)
 		klog.InfoS("relay: not retried, the retry budget is exhausted", "request", j.req.ID, "service", j.req.Service, "attempts", j.result.Attempts)
 		return failed
@@ -99,8 +101,11 @@
 const maxRefusedConnections = 32
 
 // triedEnough reports whether the request has tried as many endpoints as it may.
-func (j *job) triedEnough() bool {
-	return len(j.tried)-j.refused >= j.relay.cfg.MaxEndpoints || j.refused >= maxRefusedConnections
+func (j *job) triedEnough() bool { return j.enough(len(j.tried)) }
+
+// enough reports whether a request that has tried so many endpoints may try no other.
+func (j *job) enough(tried int) bool {
+	return tried-j.refused >= j.relay.cfg.MaxEndpoints || j.refused >= maxRefusedConnections
 }
 
 // IsConnectionRefused reports whether an attempt failed because its endpoint accepts no connections.
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -21,8 +21,8 @@
 // lost counts too, because it is unknown whether the engine had accepted the prompt.
 func (j *job) prefill(ctx context.Context, plan Plan, a *Attempt) *failure.Request {
 	j.result.Endpoint = plan.Prefill.ID
-	prefillCtx, dog := watchdog.NewConditional(ctx, j.prefillTimeout(plan), silenceCheckInterval, j.replaceable(plan.Prefill.ID))
-	defer dog.Stop()
+	next := j.newSuccessor(plan.Prefill.ID)
+	prefillCtx, dog := watchdog.NewConditional(ctx, j.prefillTimeout(plan), silenceCheckInterval, next.prepare)
 	prefillAttempt, start := *a, clock.Now()
 	prefillAttempt.Endpoint, prefillAttempt.CopyFrom = plan.Prefill, plan.CopyFrom
 	prefillAttempt.BeforeSend = func() *failure.Request {
@@ -33,13 +33,15 @@
 		return failed
 	}
 	handle, failed := j.relay.cfg.Upstream.Prefill(prefillCtx, &prefillAttempt)
+	failed = watchdog.Explain(prefillCtx, failed)
+	dog.Stop()
+	j.collect(next)
 	if j.withdrawn != nil {
 		plan.Watch.Prefilled(j.withdrawn, true)
 		j.reportEnd(ctx, plan.Prefill, j.withdrawn)
 		return j.withdrawn
 	}
-	failed = watchdog.Explain(prefillCtx, failed)
-	plan.Watch.Prefilled(failed, isAbandoned(ctx, failed))
+	plan.Watch.Prefilled(verdict(ctx, failed, next.silence))
 	if failed != nil {
 		j.reportEnd(ctx, plan.Prefill, failed)
 		j.countAttempt(failed)
@@ -48,6 +50,7 @@
 	}
 	j.relay.cfg.Guard.Ended(j.req, plan.Prefill, RunEnd{Outcome: RunPrefilled})
 	j.handle, j.prefilled = handle, true
+	j.discardNext()
 	klog.InfoS("relay: prompt prefilled", "request", j.req.ID, "endpoint", plan.Prefill.ID, "tookMS", clock.Since(start).Milliseconds(), "tokens", handle.Tokens)
 	return nil
 }
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -41,6 +41,8 @@
 	EndpointNotExpendable PlanChange = "endpoint-not-expendable"
 	// CacheLost means that the engine that holds the KV cache has restarted since the prefill.
 	CacheLost PlanChange = "cache-lost"
+	// StreamResumed means that the silent stream that was to be replaced has gone on.
+	StreamResumed PlanChange = "stream-resumed"
 	// RouteChanged means that the current configuration routes the request differently.
 	RouteChanged PlanChange = "route-changed"
 
@@ -110,6 +112,9 @@
 
 // findChange returns the first change found. Changes that end the request are checked first.
 func (j *job) findChange(ctx context.Context, plan Plan, e *directory.Endpoint) change {
+	if streamResumed(ctx) {
+		return change{cause: StreamResumed}
+	}
 	if ctx.Err() != nil {
 		return change{cause: CallerDisconnected, final: callerFailure(ctx)}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -67,6 +68,8 @@
 	handle *KVHandle
 	// prefilled is set once a separate engine has prefilled the prompt.
 	prefilled bool
+	// silence is how long the endpoint of the last attempt was silent before it responded or failed.
+	silence time.Duration
 	// plannedAt is when the current plan was made, and replans counts the plans that were discarded
 	// before anything was sent.
 	plannedAt time.Time
@@ -87,6 +90,10 @@
 	// while replacement, the plan of another attempt, is tried.
 	current, held *openStream
 	replacement   Plan
+	// next is an attempt that was prepared before the last one was abandoned, or nil. retryKept is set
+	// if a retry was taken for an attempt that was not sent.
+	next      *preparedAttempt
+	retryKept bool
 	// fallback is the complete error response of an endpoint, kept while the request is retried on
 	// another one.
 	fallback *bufferedResponse
@@ -95,7 +102,10 @@
 // run makes attempts until one succeeds or the request finally fails.
 func (j *job) run(ctx context.Context) {
 	j.relay.cfg.Budget(j.req.Service).First()
-	defer j.freeHandle()
+	defer func() {
+		j.discardNext()
+		j.freeHandle()
+	}()
 	for {
 		plan, failed := j.plan()
 		if failed != nil {
@@ -118,6 +128,9 @@
 
 // plan decides where the next attempt goes, by the current configuration.
 func (j *job) plan() (Plan, *failure.Request) {
+	if plan, ok := j.adoptNext(); ok {
+		return plan, nil
+	}
 	if failed := j.reroute(); failed != nil {
 		return Plan{}, failed
 	}
@@ -145,6 +158,9 @@
 		Number: len(j.tried) + j.replans, Tried: j.tried, Handle: j.handle,
 		Colocated: j.prefilled && j.handle == nil, Suspicion: j.suspicion,
 	}
+	if j.held != nil {
+		state.Tried = append(slices.Clip(state.Tried), j.held.plan.Serve.ID)
+	}
 	if j.resumeHandle != nil {
 		state.Resume = j.resumeHandle.Endpoint
 	}
@@ -156,10 +172,12 @@
 	a := &Attempt{Request: j.req, Endpoint: plan.Serve, LastEventID: j.lastEventID}
 	a.BeforeSend = func() *failure.Request {
 		failed := j.recheck(ctx, plan, plan.Serve)
+		if failed == nil {
+			failed = j.startOverlap()
+		}
 		if failed == nil {
 			j.recordSend()
 			j.relay.cfg.Guard.Started(j.req, plan.Serve)
-			j.limitOverlap()
 		}
 		return failed
 	}
@@ -191,7 +209,7 @@
 	if j.current != nil {
 		return j.endStream(ctx, j.current, failed)
 	}
-	j.endAttempt(ctx, plan, failed)
+	j.endAttempt(ctx, plan, failed, j.silence)
 	j.countEnd(failed, j.resumeHandle != nil)
 	j.resumeHandle = nil
 	return failed
@@ -207,7 +225,7 @@
 		return failed
 	}
 	j.resumeHandle = nil
-	j.endAttempt(ctx, s.plan, failed)
+	j.endAttempt(ctx, s.plan, failed, s.silence)
 	return failed
 }
 
@@ -220,9 +238,9 @@
 	j.countAttempt(failed)
 }
 
-// endAttempt reports the end of an attempt.
-func (j *job) endAttempt(ctx context.Context, plan Plan, failed *failure.Request) {
-	plan.Watch.Finished(failed, isAbandoned(ctx, failed))
+// endAttempt reports the end of an attempt, whose endpoint had been silent for some time.
+func (j *job) endAttempt(ctx context.Context, plan Plan, failed *failure.Request, silence time.Duration) {
+	plan.Watch.Finished(verdict(ctx, failed, silence))
 	j.reportEnd(ctx, plan.Serve, failed)
 	j.backup = plan.Backup
 	if failed != nil {
@@ -244,32 +262,54 @@
 // send sends the attempt to the plan's serving engine and forwards the response.
 func (j *job) send(ctx context.Context, a *Attempt, plan Plan) *failure.Request {
 	j.result.Endpoint, j.current = plan.Serve.ID, nil
-	timeout, sentAt := j.stallTimeout(plan), clock.Now()
-	ctx, dog := watchdog.NewConditional(ctx, timeout, silenceCheckInterval, j.mayAbandon(plan))
+	timeout, next := j.stallTimeout(plan), j.newSuccessor(plan.Serve.ID)
+	ctx, dog := watchdog.NewConditional(ctx, timeout, silenceCheckInterval, j.mayAbandon(plan, next))
 	response, failed := j.relay.cfg.Upstream.Send(ctx, a)
 	if failed == nil && j.req.Route.Kind == routes.Stream && response.Status()/100 == 2 {
 		dog.Pause()
-		j.current = &openStream{response: response, plan: plan, dog: dog, stallTimeout: timeout, sentAt: sentAt, heardAt: clock.Now(), resumesRun: j.resumeHandle != nil}
-		j.current.start()
-		return j.forward(j.current)
+		j.collect(next)
+		return j.sendStream(ctx, &openStream{
+			response: response, plan: plan, dog: dog, stallTimeout: timeout, sentAt: next.sentAt, heardAt: clock.Now(),
+			resumesRun: j.resumeHandle != nil, hasFallback: j.fallback != nil,
+		})
+	}
+	if failed == nil {
+		plan.Watch.FirstEvent()
+		failed = j.forwardBuffered(ctx, response)
+		response.Close()
+	}
+	failed = watchdog.Explain(ctx, failed)
+	dog.Stop()
+	j.collect(next)
+	j.silence = next.silence
+	return failed
+}
+
+// sendStream forwards a stream whose head has arrived. The attempt replaces a silent one, if one is
+// held.
+func (j *job) sendStream(ctx context.Context, s *openStream) *failure.Request {
+	failed := j.commitReplacement()
+	if failed == nil && ctx.Err() != nil {
+		failed = watchdog.Explain(ctx, interrupted(context.Cause(ctx))) // abandoned just before the head arrived
 	}
-	defer dog.Stop()
 	if failed != nil {
-		return watchdog.Explain(ctx, failed)
+		s.response.Close()
+		s.dog.Stop()
+		return failed
 	}
-	defer response.Close()
-	plan.Watch.FirstEvent()
-	return watchdog.Explain(ctx, j.forwardBuffered(ctx, response))
+	j.current = s
+	s.start()
+	return j.forward(s)
 }
 
 // mayAbandon returns a function that reports whether an attempt that has stalled before its response
-// may be abandoned: in favour of a fallback response or of another attempt. A run with a backup is
-// bounded by its deadline.
-func (j *job) mayAbandon(plan Plan) func() bool {
+// may be abandoned: in favour of a fallback response or of the next attempt, which it prepares. A run
+// with a backup is bounded by its deadline.
+func (j *job) mayAbandon(plan Plan, next *successor) func() bool {
 	if j.fallback != nil || plan.Backup != nil {
 		return func() bool { return true }
 	}
-	return j.replaceable(plan.Serve.ID)
+	return next.prepare
 }
 
 // stallTimeout returns how long an attempt may take until its first event or response, or zero for
--- a/relay/request.go
+++ b/relay/request.go
@@ -171,7 +171,7 @@
 	FirstEvent()
 	// Event is called on each later event of a stream.
 	Event()
-	// Finished is called exactly once, after the attempt has ended.
+	// Finished is called exactly once, after the attempt has ended, from any goroutine.
 	Finished(failed *failure.Request, abandoned bool)
 }
 
@@ -196,7 +196,6 @@
 
 // Planner decides where an attempt goes. Its failures have the outcome NotRun.
 type Planner interface {
+	// Plan reserves the plan until its Watch is finished. It may be called from any goroutine.
 	Plan(r *Request, state AttemptState) (Plan, *failure.Request)
-	// Available reports whether Plan is likely to return a plan. It reserves nothing.
-	Available(r *Request, state AttemptState) bool
 }
--- a/relay/reroute.go
+++ b/relay/reroute.go
@@ -49,6 +49,12 @@
 	case j.ran != failure.NotRun && !routed.Route.Repeatable():
 		return j.lastFailure
 	}
+	j.applyRoute(routed)
+	return nil
+}
+
+// applyRoute makes the request follow a new route.
+func (j *job) applyRoute(routed *Request) {
 	klog.InfoS("relay: request rerouted by a new configuration", "request", j.req.ID, "route", routed.Route.Name, "service", routed.Service,
 		"routeBefore", j.req.Route.Name, "serviceBefore", j.req.Service)
 	if routed.Service != j.req.Service {
@@ -57,5 +63,4 @@
 		j.relay.cfg.Budget(routed.Service).First()
 	}
 	j.req = routed
-	return nil
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -40,7 +40,7 @@
 		j.recordStart() // the request ran and failed before its first event
 	}
 	buffered := &bufferedResponse{response: response, body: body}
-	if response.Status() >= http.StatusInternalServerError && (j.held != nil || j.mayRetryElsewhere(ctx)) {
+	if response.Status() >= http.StatusInternalServerError && (j.holdsStream() || j.mayRetryElsewhere(ctx)) {
 		j.fallback = buffered
 		return &failure.Request{
 			Code: failure.EndpointFailed, Ran: failure.Done,
@@ -53,6 +53,9 @@
 	return j.sendBuffered(buffered)
 }
 
+// holdsStream reports whether a silent stream is held that may go on.
+func (j *job) holdsStream() bool { return j.held != nil && j.held.isHeld() }
+
 // mayRetryElsewhere reports whether a request that got a server error may be retried on another
 // endpoint and has enough time left. About 30% of such errors (22 of 74 in a sample) are caused by
 // the endpoint rather than by the request.
@@ -121,8 +124,9 @@
 			}
 			silence.Reset(j.silenceTimeout(s))
 		case <-silence.C:
-			if j.fallback != nil || j.startReplacement(s) {
-				return stalled(s.heardAt)
+			s.silence = clock.Since(s.heardAt)
+			if s.hasFallback || j.startReplacement(s) {
+				return stalled(s.silence)
 			}
 			silence.Reset(silenceCheckInterval)
 		}
@@ -136,20 +140,17 @@
 // request has no limit, and with a fallback response none after the first event.
 func (j *job) silenceTimeout(s *openStream) time.Duration {
 	switch {
-	case s.stallTimeout == 0, s.begun && j.fallback != nil:
+	case s.stallTimeout == 0, s.final, s.begun && s.hasFallback:
 		return unlimited
 	case !s.begun:
-		return max(0, s.stallTimeout-clock.Since(s.sentAt))
+		return max(0, s.stallTimeout-clock.Since(s.sentAt), clock.Until(s.replaceableAt))
 	}
-	return max(0, j.gapTimeout()-clock.Since(s.heardAt))
+	return max(0, j.gapTimeout()-clock.Since(s.heardAt), clock.Until(s.replaceableAt))
 }
 
 // finishStream completes a stream that ended cleanly. A stream without events is a complete
 // response, whose head is sent here.
 func (j *job) finishStream(response Response) *failure.Request {
-	if failed := j.commitReplacement(); failed != nil {
-		return failed
-	}
 	if j.result.HeadSent {
 		return nil
 	}
@@ -175,9 +176,7 @@
 			Message: fmt.Sprintf("event %d follows event %d", e.id, j.lastEventID),
 		}
 	}
-	if failed := j.recordEvent(s); failed != nil {
-		return failed
-	}
+	j.recordEvent(s)
 	if !j.result.HeadSent {
 		if failed := j.sendHead(s.response, -1); failed != nil {
 			return failed
@@ -197,21 +196,16 @@
 	return nil
 }
 
-// recordEvent records that the endpoint of a stream has sent an event. The first one makes the
-// attempt replace a silent one.
-func (j *job) recordEvent(s *openStream) *failure.Request {
-	s.heardAt = clock.Now()
+// recordEvent records that the endpoint of a stream has sent an event.
+func (j *job) recordEvent(s *openStream) {
+	s.heardAt, s.silence = clock.Now(), 0
 	if s.begun {
 		s.plan.Watch.Event()
-		return nil
-	}
-	if failed := j.commitReplacement(); failed != nil {
-		return failed
+		return
 	}
 	s.begun = true
 	s.plan.Watch.FirstEvent()
 	j.recordStart()
-	return nil
 }
 
 // callerDisconnected returns the failure of a request whose caller could not be written to.
