h1, platform: kernel timers that survive a lost probe and an unread body

Cause: once TCP_USER_TIMEOUT is set, Linux closes a connection at the first keep-alive probe that is due after that time without a segment from the peer, whatever the number of probes. With probes each second and 2 s, one lost probe closed the store's connection. The same timeout of 2 s closed connections to endpoints that left a long body unread for longer.

The default UserTimeout, which endpoint connections have, is 5 s, and without KeepAlive the kernel's probes are off, instead of the library's default of 15 s; a dead endpoint is noticed by the attempts' own timeouts. The number of probes, which had no effect, and the comment on it are gone.

KeepAlive stays at 1 s: the kernel takes whole seconds, and 800 ms are rounded up. Two seconds and a survived silence of 1.6 s exclude each other.

--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -39,12 +39,14 @@
 	// region. A lost SYN is retransmitted only after a second, and by then another endpoint
 	// is the better choice.
 	ConnectTimeout time.Duration
-	// UserTimeout is TCP_USER_TIMEOUT: how long written data may stay unacknowledged
-	// before the kernel closes the connection (default 2 s).
+	// UserTimeout is TCP_USER_TIMEOUT: how long written data may stay unacknowledged, or
+	// unread in the peer's full buffer, before the kernel closes the connection (default 5 s).
 	UserTimeout time.Duration
-	// KeepAlive is the idle time after which the kernel sends TCP keep-alive probes. A peer
-	// that acknowledges nothing for UserTimeout is considered dead. Zero keeps the system's
-	// default, which is far longer than any request.
+	// KeepAlive is the idle time after which the kernel sends TCP keep-alive probes, and the
+	// time between them. The kernel rounds it up to whole seconds. The first probe that is due after
+	// UserTimeout without any segment from the peer closes the connection; the number of
+	// probes does not matter. Zero sends no probes: UserTimeout would apply to them, and the
+	// exchanges have timeouts of their own.
 	KeepAlive time.Duration
 	// MaxIdleTime bounds how long an idle connection is kept (default 4 s). A Keep-Alive
 	// header in a response can shorten it.
@@ -56,9 +58,11 @@
 // Defaults of Options.
 const (
 	DefaultConnectTimeout = 120 * time.Millisecond
-	DefaultUserTimeout    = 2 * time.Second
-	DefaultMaxIdleTime    = 4 * time.Second
-	DefaultMaxIdle        = 32
+	// DefaultUserTimeout is above the silences of live peers, which may leave a long body unread
+	// for a second or two.
+	DefaultUserTimeout = 5 * time.Second
+	DefaultMaxIdleTime = 4 * time.Second
+	DefaultMaxIdle     = 32
 )
 
 func (o Options) withDefaults() Options {
@@ -248,19 +252,18 @@
 	})
 }
 
-// setKeepAlive enables TCP keep-alive probes after idle.
+// setKeepAlive enables TCP keep-alive probes after idle, or disables them if idle is zero.
 func setKeepAlive(nc net.Conn, idle time.Duration) error {
 	tcp, ok := nc.(*net.TCPConn)
-	if !ok || idle == 0 {
+	if !ok {
 		return nil
 	}
-	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: idle, Interval: idle, Count: keepAliveProbes})
+	if idle == 0 {
+		return tcp.SetKeepAlive(false)
+	}
+	return tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: idle, Interval: idle})
 }
 
-// keepAliveProbes is the number of unacknowledged probes after which a connection is
-// considered dead. It is above one because a probe may be lost.
-const keepAliveProbes = 2
-
 // isIdle reports whether an unused connection is open and has no data to read. It can't be
 // reused once the server has closed it or sent unsolicited data.
 func isIdle(nc net.Conn) bool {
--- a/internal/h1/keepalive_test.go
+++ b/internal/h1/keepalive_test.go
@@ -75,3 +75,48 @@
 		})
 	}
 }
+
+// A UserTimeout between the second and the third probe makes the kernel close the connection of a dead
+// peer when the third is due, and keep one whose peer was lost for less than two.
+func TestKeepAliveNoticesDeadPeer(t *testing.T) {
+	const (
+		tooEarly = 2500 * time.Millisecond
+		tooLate  = 3500 * time.Millisecond
+	)
+	for name, lost := range map[string]time.Duration{"lost for 1.6 s": 1600 * time.Millisecond, "dead": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			p := NewPool(l.Addr().String(), Options{KeepAlive: time.Second, UserTimeout: 2300 * time.Millisecond, ConnectTimeout: time.Second})
+			c, err := p.dial(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			served, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer served.Close()
+			peer, start := served.(*net.TCPConn), time.Now()
+			dropSegments(t, peer, true)
+			if lost < tooLate {
+				time.Sleep(lost)
+				dropSegments(t, peer, false)
+			}
+			_ = c.SetReadDeadline(start.Add(tooLate))
+			_, err = c.Read(make([]byte, 1))
+			after := time.Since(start)
+			ne, ok := err.(net.Error)
+			survived := ok && ne.Timeout() && after >= tooLate
+			t.Logf("%v: %v", after.Round(time.Millisecond), err)
+			if dead := lost > tooLate; survived == dead || dead && after < tooEarly {
+				t.Errorf("after %v: %v", after.Round(time.Millisecond), err)
+			}
+		})
+	}
+}
