--- a/relay/silence.go
+++ b/relay/silence.go
@@ -160,7 +160,7 @@
 	if j.held != silent {
 		return failed // the replacement has responded
 	}
-	if !runIsOver(replacementCtx, failed) {
+	if !runIsOver(replacementCtx, failed, resumes) {
 		silent.release()
 	}
 	resumed := streamResumed(replacementCtx)
@@ -195,12 +195,17 @@
 }
 
 // runIsOver reports whether a failed replacement certainly does not run any more: it did not run, it has
-// responded with an error, or its endpoint has closed the connection before it responded.
-func runIsOver(ctx context.Context, failed *failure.Request) bool {
+// responded with an error, or its endpoint has closed the connection before it responded. A run that was
+// resumed on its backup is the same run, and goes on elsewhere only if the backup has not begun it.
+func runIsOver(ctx context.Context, failed *failure.Request, resumes bool) bool {
 	switch {
 	case failed == nil:
 		return false
-	case failed.Ran == failure.NotRun, failed.Ran == failure.Done, failed.Code == failure.EndpointFailed:
+	case failed.Ran == failure.NotRun:
+		return true
+	case resumes:
+		return false
+	case failed.Ran == failure.Done, failed.Code == failure.EndpointFailed:
 		return true
 	case failed.Code != failure.EndpointBroke || ctx.Err() != nil:
 		return false
