--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -16,7 +16,8 @@
 	"github.com/springweir/springweir/reach"
 )
 
-// Timeouts of the connections to VMs that pass requests on.
+// Timeouts of the connections to VMs that pass requests on. Several VMs are asked within the timeout of a
+// probe of an endpoint.
 const (
 	hopConnectTimeout = 80 * time.Millisecond
 	hopMaxIdleTime    = 4 * time.Second
--- a/reach/check.go
+++ b/reach/check.go
@@ -93,7 +93,7 @@
 	_ = group.Wait()
 }
 
-// recordOpen records that an endpoint is reached directly again.
+// recordOpen records that a connection to an endpoint was opened.
 func (c *Client) recordOpen(e *directory.Endpoint) {
 	c.mu.Lock()
 	wasBroken := c.tracker.SetOpen(clock.Now(), e)
--- a/reach/client.go
+++ b/reach/client.go
@@ -102,7 +102,7 @@
 	case v != endpointDown:
 		return nil, &h1.Error{Cause: ErrUnreached}
 	}
-	c.recordOpen(e)
+	c.recordDown(e)
 	return c.cfg.Direct.Do(ctx, e, out)
 }
 
@@ -287,6 +287,14 @@
 	}
 }
 
+// recordDown records that an endpoint with a broken path is down, so that nothing is known of the path.
+func (c *Client) recordDown(e *directory.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Forget(e)
+	klog.InfoS("reach: endpoint with a broken path is down", "endpoint", e.ID, "zone", e.Zone, "broken", c.tracker.NumBroken())
+}
+
 // ReceiveImpaired records the VMs that other VMs report to be impaired.
 func (c *Client) ReceiveImpaired(hashes []uint32) {
 	if len(hashes) == 0 {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -91,7 +91,7 @@
 	if !t.Broken(e) {
 		return false
 	}
-	delete(t.broken, e.Incarnation())
+	t.Forget(e)
 	for _, p := range t.broken {
 		if p.endpoint.Zone == e.Zone && p.checkAt.After(now) {
 			p.checkAt, p.interval = now, minCheckInterval
@@ -100,6 +100,9 @@
 	return true
 }
 
+// Forget removes what is known of the direct path to an endpoint.
+func (t *Tracker) Forget(e *directory.Endpoint) { delete(t.broken, e.Incarnation()) }
+
 // NumBroken returns the number of broken paths.
 func (t *Tracker) NumBroken() int { return len(t.broken) }
 
