--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -21,13 +21,14 @@
 const (
 	hopConnectTimeout = 80 * time.Millisecond
 	hopMaxIdleTime    = 4 * time.Second
+	hopUserTimeout    = 2 * time.Second
 )
 
 // newReach sets up how attempts reach endpoints. Without a platform that supports it, they are sent
 // directly.
 func (g *Gateway) newReach() {
 	p := g.platform
-	g.hopClient = hop.NewClient(g.settings.VM, h1.Options{Network: g.network, ConnectTimeout: hopConnectTimeout, MaxIdleTime: hopMaxIdleTime})
+	g.hopClient = hop.NewClient(g.settings.VM, h1.Options{Network: g.network, ConnectTimeout: hopConnectTimeout, MaxIdleTime: hopMaxIdleTime, UserTimeout: hopUserTimeout})
 	g.reach = reach.NewClient(reach.Config{
 		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.responsiveVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
 		Hop: g.hopClient,
