gateway: a stop waits for the requests that the VM passes on, not for polls of tables

http.Server.Shutdown also waited for the polls of other VMs, which take seconds in a region with collectors; a VM would have stopped at the end of its grace.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -394,10 +394,22 @@
 		klog.InfoS("gateway: requests still open at the end of the grace period", "err", err)
 	}
 	g.closeUsage()
-	if err := peerServer.Shutdown(ctx); err != nil {
+	g.stopPeers(ctx, peerServer)
+	klog.InfoS("gateway: stopped", "took", time.Since(start))
+}
+
+// lastWrites is how long a stopping VM waits until the ends of the last responses to other VMs are
+// written. Their polls of tables, which take longer, are cut off.
+const lastWrites = 100 * time.Millisecond
+
+// stopPeers waits for the requests that this VM passes on, and closes the server for other VMs.
+func (g *Gateway) stopPeers(ctx context.Context, peerServer *http.Server) {
+	if err := g.hop.Drain(ctx); err != nil {
 		klog.InfoS("gateway: requests of other VMs still open at the end of the grace period", "err", err)
 	}
-	klog.InfoS("gateway: stopped", "took", time.Since(start))
+	ctx, cancel := context.WithTimeout(ctx, lastWrites)
+	defer cancel()
+	_ = peerServer.Shutdown(ctx) // times out if a table is polled
 }
 
 // staleConnectionInterval is how often stale connections to endpoints and other VMs are closed.
--- a/hop/ending_test.go
+++ b/hop/ending_test.go
@@ -271,3 +271,38 @@
 		}
 	})
 }
+
+// Drain waits for the request under way, after which others are refused.
+func TestDrain(t *testing.T) {
+	reply := func(c net.Conn, _ rawRequest) bool {
+		time.Sleep(3 * time.Second)
+		_, err := io.WriteString(c, emptyOK)
+		return err == nil
+	}
+	inSite(t, reply, func(t *testing.T, s *site) {
+		start, drained := time.Now(), make(chan time.Duration, 1)
+		time.AfterFunc(time.Second, func() {
+			if err := s.server.Drain(t.Context()); err != nil {
+				t.Error(err)
+			}
+			drained <- time.Since(start)
+		})
+		response, err := s.do(t.Context(), get())
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Close()
+		if took := <-drained; took != 3*time.Second {
+			t.Errorf("drained after %v, want 3s", took)
+		}
+		var busy *hop.Error
+		if _, err := s.do(t.Context(), get()); !errors.As(err, &busy) || !busy.NotRun() {
+			t.Errorf("a request after the drain: %v", err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := s.server.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("a drain that cannot end: %v", err)
+		}
+	})
+}
--- a/hop/helpers_test.go
+++ b/hop/helpers_test.go
@@ -82,6 +82,8 @@
 	vm        *http.Server
 	client    *hop.Client
 	peer      hop.Peer
+	// server is the VM's server for hops.
+	server *hop.Server
 	// endpoints is the pool of the VM.
 	endpoints *h1.Pool
 
@@ -138,6 +140,7 @@
 		_ = s.vm.Close()
 	}
 	server := hop.NewServer(s.cfg)
+	s.server = server
 	s.vm = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !hop.Addressed(r) {
 			w.WriteHeader(http.StatusNotFound)
--- a/hop/server.go
+++ b/hop/server.go
@@ -68,6 +68,19 @@
 	return &Server{cfg: c, slots: make(chan struct{}, c.MaxConcurrent)}
 }
 
+// Drain waits until no request is passed on any more; others are refused from then on. It returns the
+// cause of ctx if that ends before.
+func (s *Server) Drain(ctx context.Context) error {
+	for range cap(s.slots) {
+		select {
+		case s.slots <- struct{}{}:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
 // result is how a request ended.
 type result struct {
 	// status is the status sent, if headSent is set.
