--- a/hop/server.go
+++ b/hop/server.go
@@ -203,22 +203,12 @@
 		return connectFailure(err)
 	}
 	code := failure.EndpointBroke
-	if closedByEndpoint(err) {
+	if h1.ClosedByPeer(err) {
 		code = failure.EndpointClosed
 	}
 	return &failure.Request{Code: code, Ran: failure.Unknown, Message: "no answer from the endpoint", Cause: err}
 }
 
-// closedByEndpoint reports whether an error means that the endpoint has closed or reset the connection.
-func closedByEndpoint(err error) bool {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, unix.ECONNRESET, unix.EPIPE} {
-		if errors.Is(err, closed) {
-			return true
-		}
-	}
-	return false
-}
-
 // connectFailure returns the failure to connect to the endpoint.
 func connectFailure(err error) *failure.Request {
 	if errors.Is(err, unix.ECONNREFUSED) {
--- a/internal/h1/errors.go
+++ b/internal/h1/errors.go
@@ -1,9 +1,13 @@
 package h1
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"strconv"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/springweir/springweir/failure"
 )
 
@@ -63,3 +67,13 @@
 
 // Reason implements failure.Coded.
 func (e *TooLongError) Reason() failure.Reason { return failure.EndpointFailed }
+
+// ClosedByPeer reports whether an error means that the peer closed or reset the connection.
+func ClosedByPeer(err error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, unix.ECONNRESET, unix.EPIPE} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-
-	"golang.org/x/sys/unix"
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/h1"
 )
 
 // Guard observes how requests affect the endpoints that run them, and refuses requests that crash
@@ -89,18 +86,8 @@
 		return RunRefused
 	case isAbandoned(ctx, failed):
 		return RunAbandoned
-	case closedByPeer(failed.Cause):
+	case h1.ClosedByPeer(failed.Cause):
 		return RunInterrupted
 	}
 	return RunAbandoned
 }
-
-// closedByPeer reports whether an error means that the peer closed or reset the connection.
-func closedByPeer(err error) bool {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, unix.ECONNRESET, unix.EPIPE} {
-		if errors.Is(err, closed) {
-			return true
-		}
-	}
-	return false
-}
