reach: notice the crash of an endpoint when the others of its zone are down too

Cause: a refused connection counts as the VM's own fault if it reaches no other endpoint of the zone. Endpoints of the zone that had crashed before, or at the same moment, were among those it tried. All VMs then found themselves cut off from the zone, the crash was recorded nowhere, and nothing was suspected.

Change: endpoints that are known to be down are not tried, and their broken paths do not count. If all of the zone refuse, a VM that reaches endpoints of other zones, and VMs of this one, is neither cut off from all endpoints nor from the zone. Connections that hang keep their meaning.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -31,7 +31,7 @@
 	g.hopClient = hop.NewClient(g.settings.VM, h1.Options{Network: g.network, ConnectTimeout: hopConnectTimeout, MaxIdleTime: hopMaxIdleTime, UserTimeout: hopUserTimeout})
 	g.reach = reach.NewClient(reach.Config{
 		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.responsiveVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
-		Hop: g.hopClient,
+		Hop: g.hopClient, Down: func(e *directory.Endpoint) bool { return g.planner.IsDown(e) },
 	})
 	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, RequestID: p.RequestID})
 	if p.SetSender != nil {
--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -45,6 +45,14 @@
 	p.markDown(p.loads.get(e))
 }
 
+// IsDown reports whether an endpoint was found down within downTTL.
+func (p *Planner) IsDown(e *directory.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load := p.loads.byID[e.ID]
+	return load != nil && load.startedAt == e.StartedAt && load.down(p.now())
+}
+
 // markDown records that an endpoint accepts no more connections. The caller holds mu.
 func (p *Planner) markDown(load *endpointLoad) {
 	wasDown := load.down(p.now())
--- a/reach/client.go
+++ b/reach/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,9 @@
 	VMs func() []VM
 	// Endpoints returns the latest snapshot of the endpoints.
 	Endpoints func() *directory.Snapshot
+	// Down reports whether an endpoint is known to be down, so that a failed connection to it says nothing
+	// about this VM. Nil means that none is.
+	Down func(*directory.Endpoint) bool
 	// RequestID returns the ID of a request, given its headers, for the log.
 	RequestID func(http.Header) string
 }
@@ -87,6 +91,9 @@
 
 // NewClient returns a Client. Run must be called for broken paths to heal.
 func NewClient(c Config) *Client {
+	if c.Down == nil {
+		c.Down = func(*directory.Endpoint) bool { return false }
+	}
 	return &Client{cfg: c, sweep: make(chan struct{}, 1), working: make(chan struct{}, 1), tracker: NewTracker(c.Zone), checks: map[string]zoneCheck{}, connected: map[string]*directory.Endpoint{}}
 }
 
@@ -323,9 +330,10 @@
 // does not reach other endpoints of the zone.
 func (c *Client) RefusalIsOwn(ctx context.Context, e *directory.Endpoint) bool {
 	c.mu.Lock()
-	isBroken := c.tracker.BrokenInZone(e.Zone)
+	broken := c.tracker.BrokenInZone(e.Zone)
 	c.mu.Unlock()
-	return isBroken || !c.Works(ctx, e)
+	mayBeUp := func(other *directory.Endpoint) bool { return !c.cfg.Down(other) }
+	return slices.ContainsFunc(broken, mayBeUp) || !c.Works(ctx, e)
 }
 
 // NumBroken returns the number of endpoints that this VM does not reach directly.
--- /dev/null
+++ b/reach/crash_test.go
@@ -0,0 +1,80 @@
+package reach
+
+import (
+	"context"
+	"testing"
+
+	"github.com/springweir/springweir/directory"
+)
+
+// perEndpoint is a fakeNetwork with an outcome of connections for each endpoint; nil is an open one.
+type perEndpoint struct {
+	*fakeNetwork
+	errs map[string]error
+}
+
+func (n perEndpoint) Connect(_ context.Context, e *directory.Endpoint) error { return n.errs[e.ID] }
+
+// Guards against a crash that goes unnoticed because all other endpoints of the zone have crashed too:
+// a VM that does not reach any of them is not cut off if it reaches endpoints elsewhere.
+func TestCrashOfAllEndpointsOfZoneIsNoticed(t *testing.T) {
+	const crashed = "crashed"
+	refused, hangs := errConnectRefused, errConnectTimeout
+	for _, tc := range []struct {
+		name string
+		// zone is that of the endpoint that crashed, with another endpoint, "same". "elsewhere" is in
+		// zone b if zone is a, and the reverse.
+		zone            string
+		same, elsewhere error
+		// down holds the endpoints that are known to be down.
+		down  string
+		alone bool
+		want  bool
+	}{
+		{name: "another one is up", zone: "a", elsewhere: refused, want: true},
+		{name: "another one is down already", zone: "a", same: refused, down: "same", want: true},
+		{name: "another one is down already, in another zone", zone: "b", same: refused, down: "same", want: true},
+		{name: "both have just crashed", zone: "a", same: refused, want: true},
+		{name: "both have just crashed, in another zone", zone: "b", same: refused, want: true},
+		{name: "another zone that no VM is heard of", zone: "b", same: refused, alone: true},
+		{name: "the other one hangs", zone: "a", same: hangs},
+		{name: "nothing is reached", zone: "a", same: refused, elsewhere: refused},
+		{name: "nothing is reached but what is known to be down", zone: "a", same: refused, elsewhere: refused, down: "same"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			other := map[string]string{"a": "b", "b": "a"}[tc.zone]
+			c, d := newTestClient(&fakeNetwork{})
+			for id, zone := range map[string]string{crashed: tc.zone, "same": tc.zone, "elsewhere": other} {
+				d.Put(directory.Registration{ID: id, Zone: zone})
+			}
+			c.cfg.Direct = perEndpoint{&fakeNetwork{}, map[string]error{crashed: refused, "same": tc.same, "elsewhere": tc.elsewhere}}
+			c.cfg.Down = func(e *directory.Endpoint) bool { return e.ID == tc.down }
+			if tc.alone {
+				c.cfg.VMs = func() []VM { return nil }
+			}
+			e := d.Snapshot().Endpoint(crashed)
+			if got := c.Works(t.Context(), e); got != tc.want {
+				t.Errorf("the VM works: %t", got)
+			}
+			if got := !c.RefusalIsOwn(t.Context(), e); got != tc.want {
+				t.Errorf("the refusal shows a crash: %t", got)
+			}
+		})
+	}
+}
+
+// Guards against a crash that goes unnoticed because the path to another endpoint of the zone, which has
+// crashed before, counts as broken.
+func TestPathToCrashedEndpointHidesNoCrash(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectRefused, reached: map[string]bool{"up": true}}
+	c, d := newTestClient(n, "first", "second", "up")
+	c.recordBroken(d.Snapshot().Endpoint("first"), errConnectRefused)
+	second := d.Snapshot().Endpoint("second")
+	if !c.RefusalIsOwn(t.Context(), second) {
+		t.Error("a broken path to an endpoint that may be up does not count")
+	}
+	c.cfg.Down = func(e *directory.Endpoint) bool { return e.ID == "first" }
+	if c.RefusalIsOwn(t.Context(), second) {
+		t.Error("the crash is not noticed")
+	}
+}
--- a/reach/inquiry_test.go
+++ b/reach/inquiry_test.go
@@ -343,7 +343,7 @@
 	c, d := newManyEndpoints()
 	e := d.Snapshot().Endpoint("e1")
 	for b.Loop() {
-		c.sample(e)
+		c.samples(e)
 	}
 }
 
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -110,14 +110,15 @@
 // first to pass requests on.
 func (t *Tracker) Impaired() bool { return len(t.broken) >= minImpaired }
 
-// BrokenInZone reports whether the path to an endpoint of a zone is broken.
-func (t *Tracker) BrokenInZone(zone string) bool {
+// BrokenInZone returns the endpoints of a zone to which the path is broken.
+func (t *Tracker) BrokenInZone(zone string) []*directory.Endpoint {
+	var list []*directory.Endpoint
 	for _, p := range t.broken {
 		if p.endpoint.Zone == zone {
-			return true
+			list = append(list, p.endpoint)
 		}
 	}
-	return false
+	return list
 }
 
 // Due returns at most limit endpoints whose paths are to be checked now, and schedules their next
--- a/reach/works.go
+++ b/reach/works.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
@@ -29,6 +31,10 @@
 // Works reports whether this VM reaches other endpoints of the zone of e, to which it could not connect,
 // or of any zone if there are none. If it does not, its failed connections say nothing about the
 // endpoints. A VM that knows no other endpoint takes its way to be open.
+//
+// If all endpoints of the zone refuse connections, they may all have crashed. This VM works then if it
+// reaches endpoints of other zones and VMs of this one: it is cut off neither from all endpoints nor from
+// the zone.
 func (c *Client) Works(ctx context.Context, e *directory.Endpoint) bool {
 	asked := clock.Now()
 	select {
@@ -40,11 +46,14 @@
 	if known, works := c.lastCheck(e.Zone, asked); known {
 		return works
 	}
-	sample := c.sample(e)
-	if len(sample) == 0 {
+	sameZone, others := c.samples(e)
+	if len(sameZone) == 0 {
+		sameZone, others = others, nil
+	}
+	if len(sameZone) == 0 {
 		return true
 	}
-	return c.check(ctx, e.Zone, sample)
+	return c.check(ctx, e.Zone, sameZone, others)
 }
 
 // lastCheck returns the result of the last check of a zone if it still counts: one that has begun since
@@ -72,29 +81,30 @@
 	return false
 }
 
-// sample returns some random endpoints other than e, of its zone if there are any, and the one to which
-// a connection was last opened.
-func (c *Client) sample(e *directory.Endpoint) []*directory.Endpoint {
+// samples returns some random endpoints of the zone of e and some of others, without e and those that are
+// known to be down. The first ones contain the endpoint to which a connection was last opened.
+func (c *Client) samples(e *directory.Endpoint) (sameZone, others []*directory.Endpoint) {
 	snapshot := c.cfg.Endpoints()
-	var sameZone, others []*directory.Endpoint
 	for _, other := range snapshot.All() {
 		switch {
-		case other.ID == e.ID:
+		case other.ID == e.ID, c.cfg.Down(other):
 		case other.Zone == e.Zone:
 			sameZone = append(sameZone, other)
 		default:
 			others = append(others, other)
 		}
 	}
-	if len(sameZone) == 0 {
-		sameZone = others
+	sameZone, others = sampleOf(sameZone), sampleOf(others)
+	if last := c.lastConnected(e.Zone); last != nil && last.ID != e.ID && snapshot.Endpoint(last.ID) != nil && !c.cfg.Down(last) && !slices.Contains(sameZone, last) {
+		sameZone = append(sameZone, last)
 	}
-	rand.Shuffle(len(sameZone), func(i, j int) { sameZone[i], sameZone[j] = sameZone[j], sameZone[i] })
-	sample := sameZone[:min(len(sameZone), sampledEndpoints)]
-	if last := c.lastConnected(e.Zone); last != nil && last.ID != e.ID && snapshot.Endpoint(last.ID) != nil && !slices.Contains(sample, last) {
-		sample = append(sample, last)
-	}
-	return sample
+	return sameZone, others
+}
+
+// sampleOf returns some of the endpoints, at random. It changes the order of list.
+func sampleOf(list []*directory.Endpoint) []*directory.Endpoint {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), sampledEndpoints)]
 }
 
 func (c *Client) lastConnected(zone string) *directory.Endpoint {
@@ -103,39 +113,62 @@
 	return c.connected[zone]
 }
 
-// check connects to a sample of the endpoints of a zone and reports whether one was reached. If not,
-// their paths are broken.
-func (c *Client) check(ctx context.Context, zone string, sample []*directory.Endpoint) bool {
-	type result struct {
-		endpoint *directory.Endpoint
-		err      error
-	}
+// check connects to a sample of the endpoints of a zone, and to one of others if that is conclusive too.
+// It reports whether an endpoint was reached. If not, the paths to the endpoints of the zone are broken.
+func (c *Client) check(ctx context.Context, zone string, sameZone, others []*directory.Endpoint) bool {
 	started := clock.Now()
-	results := make(chan result, len(sample))
-	for _, e := range sample {
-		go func() { results <- result{e, c.cfg.Direct.Connect(ctx, e)} }()
+	reached, failed := c.connectAny(ctx, sameZone)
+	if reached == nil && allRefused(failed) && c.inContactWith(zone) {
+		reached, _ = c.connectAny(ctx, others)
 	}
-	var failed []result
-	for range sample {
-		r := <-results
-		if r.err == nil {
-			c.recordCheck(zone, zoneCheck{startedAt: started, works: true})
-			c.recordOpen(r.endpoint)
-			return true
-		}
-		failed = append(failed, r)
+	if reached != nil {
+		c.recordCheck(zone, zoneCheck{startedAt: started, works: true})
+		c.recordOpen(reached)
+		return true
 	}
 	if ctx.Err() != nil {
 		return false
 	}
-	klog.InfoS("reach: no endpoint is reached directly", "zone", zone, "tried", len(sample)+1)
+	klog.InfoS("reach: no endpoint is reached directly", "zone", zone, "tried", len(sameZone)+1)
 	c.recordCheck(zone, zoneCheck{startedAt: started})
-	for _, r := range failed {
-		c.recordBroken(r.endpoint, r.err)
+	for _, f := range failed {
+		c.recordBroken(f.endpoint, f.err)
 	}
 	return false
 }
 
+// failedConnect is a connection to an endpoint that could not be opened.
+type failedConnect struct {
+	endpoint *directory.Endpoint
+	err      error
+}
+
+// connectAny connects to all endpoints at once and returns the first one reached, or the failures of all.
+func (c *Client) connectAny(ctx context.Context, list []*directory.Endpoint) (reached *directory.Endpoint, failed []failedConnect) {
+	results := make(chan failedConnect, len(list))
+	for _, e := range list {
+		go func() { results <- failedConnect{e, c.cfg.Direct.Connect(ctx, e)} }()
+	}
+	for range list {
+		r := <-results
+		if r.err == nil {
+			return r.endpoint, nil
+		}
+		failed = append(failed, r)
+	}
+	return nil, failed
+}
+
+// allRefused reports whether each endpoint has refused the connection.
+func allRefused(failed []failedConnect) bool {
+	return !slices.ContainsFunc(failed, func(f failedConnect) bool { return !errors.Is(f.err, unix.ECONNREFUSED) })
+}
+
+// inContactWith reports whether this VM belongs to a zone or is in contact with a VM that does.
+func (c *Client) inContactWith(zone string) bool {
+	return zone == c.cfg.Zone || slices.ContainsFunc(c.cfg.VMs(), func(vm VM) bool { return vm.Zone == zone })
+}
+
 func (c *Client) recordCheck(zone string, check zoneCheck) {
 	check.endedAt = clock.Now()
 	c.mu.Lock()
