reach: a suspended VM does not delay the news of a crash

Cause: whether an endpoint is down was decided when all VMs that were asked had answered, at the latest after 300 ms. A suspended VM does not answer.

Ruled out: that the news was announced, but not received; the times of sending and receiving differ by 4 ms at most.

Change: a VM that was refused and reaches others of the zone is a witness itself. It agrees with the VMs that have answered within 10 ms, and after 100 ms decides alone. A request that meets an endpoint known to be down asks no VM. reach.TestSuspendedVMDoesNotDelayCrash, TestEndpointKnownToBeDownTakesNoHop. TestCrashIsNoticedThoughOneVMIsSilent: also asserts the bound of 100 ms, and looks at the silent VM once its timeout is over.

--- a/reach/client.go
+++ b/reach/client.go
@@ -25,6 +25,9 @@
 	// inquiryLimit is the time after which a request asks no further VM. A VM that does not reach the
 	// endpoint either may take the timeout of a connection to say so.
 	inquiryLimit = 100 * time.Millisecond
+	// inquiryPatience is how long an inquiry waits for VMs whose verdict may differ from that of others. It
+	// is several round trips within a region.
+	inquiryPatience = 10 * time.Millisecond
 	// inquiryTimeout bounds the inquiry whether VMs reach an endpoint.
 	inquiryTimeout = 300 * time.Millisecond
 )
@@ -119,6 +122,9 @@
 	if !notConnected(ctx, err) {
 		return response, err
 	}
+	if errors.Is(err, unix.ECONNREFUSED) && c.cfg.Down(e) {
+		return nil, err
+	}
 	response, v, hopErr := c.throughVMs(ctx, e, out)
 	switch {
 	case v.reached():
@@ -201,7 +207,7 @@
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
-	switch v := c.inquire(ctx, e); {
+	switch v := c.inquire(ctx, e, err); {
 	case v == endpointDown, v == noVM && c.Works(ctx, e):
 		return err
 	case v == responded, v == noVM && ctx.Err() == nil:
@@ -210,27 +216,58 @@
 	return unreached(err)
 }
 
-// inquire asks other VMs whether they reach an endpoint, all at once. What they say counts also for
-// later requests, so it is not cut short by the end of ctx.
-func (c *Client) inquire(ctx context.Context, e *directory.Endpoint) verdict {
+// inquire asks other VMs whether they reach an endpoint, all at once, after a connection of this VM has
+// failed. What they say counts also for later requests, so it is not cut short by the end of ctx.
+//
+// A VM that is suspended does not answer, and must not delay the news of a crash: until then the endpoint
+// and those that replace it receive the request that has crashed it again. If this VM was refused and
+// reaches others of the zone, the verdict of those that have answered within inquiryPatience suffices, and
+// after inquiryLimit its own.
+func (c *Client) inquire(ctx context.Context, e *directory.Endpoint, cause error) verdict {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inquiryTimeout)
-	defer cancel()
 	vms := c.choose(e)
-	answers := make(chan verdict, len(vms))
-	for _, vm := range vms {
-		go func() { answers <- c.judge(ctx, vm, e, c.cfg.Hop.Connect(ctx, vm.Peer, e)) }()
+	answers, own := c.askAll(ctx, cancel, vms, e), make(chan bool, 1)
+	if len(vms) > 0 && errors.Is(cause, unix.ECONNREFUSED) {
+		go func() { own <- c.Works(ctx, e) }()
 	}
+	patience, limit := time.After(inquiryPatience), time.After(inquiryLimit)
 	var all verdicts
-	for range vms {
-		v := <-answers
-		if v == responded {
-			return responded
+	var works, patient, late = false, true, false
+	for pending := len(vms); pending > 0; {
+		select {
+		case v := <-answers:
+			if v == responded {
+				return responded
+			}
+			all.add(v)
+			pending--
+		case works = <-own:
+		case <-patience:
+			patient = false
+		case <-limit:
+			late = true
+		}
+		if works && !patient && all.sum() == endpointDown || works && late && !all.answered() {
+			return endpointDown
 		}
-		all.add(v)
 	}
 	return all.sum()
 }
 
+// askAll asks VMs at once whether they reach an endpoint, and calls done after the last answer.
+func (c *Client) askAll(ctx context.Context, done func(), vms []VM, e *directory.Endpoint) <-chan verdict {
+	answers := make(chan verdict, len(vms))
+	var asked sync.WaitGroup
+	for _, vm := range vms {
+		asked.Go(func() { answers <- c.judge(ctx, vm, e, c.cfg.Hop.Connect(ctx, vm.Peer, e)) })
+	}
+	go func() {
+		asked.Wait()
+		done()
+	}()
+	return answers
+}
+
 // unreached returns the error of a connection to an endpoint that may be up. It does not wrap the
 // cause, which may be a refused connection.
 func unreached(cause error) *Error {
--- a/reach/crash_test.go
+++ b/reach/crash_test.go
@@ -2,9 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/hop"
+	"github.com/springweir/springweir/internal/h1"
 )
 
 // perEndpoint is a fakeNetwork with an outcome of connections for each endpoint; nil is an open one.
@@ -78,3 +87,67 @@
 		t.Error("the crash is not noticed")
 	}
 }
+
+// suspendedVM is a Hop of which one VM does not answer.
+type suspendedVM struct {
+	fakeHop
+	name string
+}
+
+func (h suspendedVM) Connect(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error {
+	if vm.Name == h.name {
+		<-ctx.Done()
+		return context.Cause(ctx)
+	}
+	return h.fakeHop.Connect(ctx, vm, e)
+}
+
+// Guards against a VM that is suspended and delays the news of a crash: meanwhile the request that caused
+// it reaches other endpoints.
+func TestSuspendedVMDoesNotDelayCrash(t *testing.T) {
+	down, unreached := reported(failure.EndpointDown, failure.NotRun), reported(failure.EndpointUnreachable, failure.NotRun)
+	for _, tc := range []struct {
+		name string
+		// other is what the VM that is not suspended says, and works whether this VM reaches another endpoint.
+		other error
+		works bool
+		down  bool
+		limit time.Duration
+	}{
+		{name: "the other VM finds it down", other: down, works: true, down: true, limit: inquiryPatience},
+		{name: "the other VM reaches it", works: true, limit: 0},
+		{name: "the other VM does not reach it", other: unreached, works: true, limit: inquiryTimeout},
+		{name: "this VM reaches nothing", other: down, down: true, limit: inquiryTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &fakeNetwork{direct: errConnectRefused, reached: map[string]bool{"f": tc.works}, through: map[string]error{"b1": tc.other}}
+				c, d := newTestClient(n, "e", "f")
+				c.cfg.Hop = suspendedVM{fakeHop{n}, "a1"}
+				start := time.Now()
+				err := c.Connect(t.Context(), d.Snapshot().Endpoint("e"))
+				if got := errors.Is(err, unix.ECONNREFUSED); got != tc.down {
+					t.Errorf("down: %t", got)
+				}
+				if took := time.Since(start); took > tc.limit {
+					t.Errorf("decided after %v, want %v", took, tc.limit)
+				}
+				time.Sleep(inquiryTimeout)
+			})
+		})
+	}
+}
+
+// A request that was placed just before a crash became known asks no other VM, which may not answer.
+func TestEndpointKnownToBeDownTakesNoHop(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectRefused}
+	c, d := newTestClient(n, "e", "f")
+	c.cfg.Down = func(e *directory.Endpoint) bool { return e.ID == "e" }
+	_, err := c.Do(t.Context(), d.Snapshot().Endpoint("e"), &h1.Request{})
+	if !errors.Is(err, unix.ECONNREFUSED) {
+		t.Errorf("got %v", err)
+	}
+	if diff := cmp.Diff([]string{"direct e"}, n.take()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/reach/inquiry_test.go
+++ b/reach/inquiry_test.go
@@ -141,12 +141,17 @@
 			"a1": &h1.Error{Cause: &hop.ExchangeError{VM: "a1", Cause: unix.ETIMEDOUT}},
 			"b1": reported(failure.EndpointDown, failure.NotRun),
 		}
+		start := time.Now()
 		if err := c.Connect(ctx, e); !errors.Is(err, unix.ECONNREFUSED) {
 			t.Errorf("the crash is not noticed: %v", err)
 		}
+		if took := time.Since(start); took > inquiryLimit {
+			t.Errorf("the crash is noticed after %v", took)
+		}
 		if c.broken(e) {
 			t.Error("the crashed endpoint counts as a broken path")
 		}
+		time.Sleep(hopConnectTimeout) // until the silent VM is given up
 		if got := len(c.choose(e)); got != 1 {
 			t.Errorf("%d VMs are asked next, want b1", got)
 		}
