poison, placement: leave an endpoint for a second request that crashes endpoints

Cause: a request keeps to what it may risk by itself, not together with others. The first one crashed an endpoint and, tried again 40 ms later, another; the next request, of which nothing was known, took the last one.

Change: - The retry of a suspect leaves as many endpoints as a repetition: one more than it is suspected of. A stream that has begun keeps its former bound. - Suspects of crashes that have none in common run on the same endpoints. - A request whose crash another one explains better leaves the last endpoint. - So that innocents are not held back where endpoints crash by themselves, a crash whose suspects do not come again within two seconds counts as spontaneous, as one whose suspects have been cleared did already.

TestSuspectRunsOnExpendableEndpoints: the numbers of retries hold for streams that have begun now, unchanged; for others they are those of repetitions, which are stricter.

--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -134,7 +134,8 @@
 
 // suspect is a request that may crash endpoints.
 type suspect struct {
-	// key identifies the request on all VMs.
+	// key identifies the request on all VMs. It is zero if other requests are suspected of other crashes:
+	// all of them then run on the same endpoints, so that together they crash no more than one would.
 	key uint32
 	// reserve is the number of endpoints of a group that must stay up if it crashes all others; zero
 	// if the request is not suspected.
@@ -144,13 +145,16 @@
 }
 
 // suspectOf returns the suspect that an attempt is. As many endpoints stay up as it is suspected of
-// having crashed, and one more for the first attempt of a request: it repeats another one, of which
-// more copies may be running.
+// having crashed, and one more: another request that nothing is known of may crash that one meanwhile.
+// A stream that has begun is less suspect and would be cut, so it may use that one.
 func suspectOf(prior relay.AttemptState) suspect {
 	s := suspect{key: prior.Suspicion.Key, reserve: prior.Suspicion.Crashes, copiesOn: prior.Suspicion.CopiesOn}
-	if s.reserve > 0 && len(prior.Tried) == 0 {
+	if (s.reserve > 0 || prior.Suspicion.Bystander) && !prior.Streaming {
 		s.reserve++
 	}
+	if prior.Suspicion.Others {
+		s.key = 0
+	}
 	return s
 }
 
--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -45,12 +45,12 @@
 }
 
 // A suspect runs only on as many endpoints as the other callers can do without: while it is
-// suspected of n crashes, n others stay up, or all but one if the group is smaller. For a repeat, of
-// which more copies may be running, it is one more.
+// suspected of n crashes, n+1 others stay up, or all but one if the group is smaller. For a stream that
+// has begun it is one less.
 func TestSuspectRunsOnExpendableEndpoints(t *testing.T) {
 	for _, tc := range []struct {
 		endpoints, down, crashes int
-		repeat                   bool
+		repeat, streaming        bool
 		want                     int
 	}{
 		{endpoints: 10, down: 1, crashes: 1, repeat: true, want: 7},
@@ -61,17 +61,26 @@
 		{endpoints: 1, down: 0, crashes: 1, repeat: true, want: 1},
 		{endpoints: 10, down: 1, crashes: 0, repeat: true, want: 9},
 		{endpoints: 10, down: 0, crashes: 0, want: 10},
-		{endpoints: 10, down: 1, crashes: 1, want: 8},
-		{endpoints: 10, down: 2, crashes: 2, want: 6},
-		{endpoints: 3, down: 1, crashes: 1, want: 1},
+		{endpoints: 10, down: 1, crashes: 1, want: 7},
+		{endpoints: 10, down: 2, crashes: 2, want: 5},
+		{endpoints: 4, down: 1, crashes: 1, want: 1},
+		{endpoints: 3, down: 1, crashes: 1, want: 0},
 		{endpoints: 3, down: 2, crashes: 1, want: 0},
-		{endpoints: 3, down: 2, crashes: 2, want: 0},
 		{endpoints: 3, down: 0, crashes: 2, want: 1},
 		{endpoints: 2, down: 1, crashes: 1, want: 0},
 		{endpoints: 2, down: 0, crashes: 2, want: 1},
 		{endpoints: 1, down: 0, crashes: 1, want: 1},
+		{endpoints: 10, down: 1, crashes: 1, streaming: true, want: 8},
+		{endpoints: 10, down: 2, crashes: 2, streaming: true, want: 6},
+		{endpoints: 3, down: 1, crashes: 1, streaming: true, want: 1},
+		{endpoints: 3, down: 2, crashes: 1, streaming: true, want: 0},
+		{endpoints: 3, down: 2, crashes: 2, streaming: true, want: 0},
+		{endpoints: 3, down: 0, crashes: 2, streaming: true, want: 1},
+		{endpoints: 2, down: 1, crashes: 1, streaming: true, want: 0},
+		{endpoints: 2, down: 0, crashes: 2, streaming: true, want: 1},
+		{endpoints: 1, down: 0, crashes: 1, streaming: true, want: 1},
 	} {
-		t.Run(fmt.Sprintf("%d of %d down, %d crashes, repeat=%t", tc.down, tc.endpoints, tc.crashes, tc.repeat), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d of %d down, %d crashes, repeat=%t, streaming=%t", tc.down, tc.endpoints, tc.crashes, tc.repeat, tc.streaming), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T, f *fixture) {
 				for i := range tc.endpoints {
 					f.addPlain(fmt.Sprint("p", i), "a")
@@ -84,6 +93,7 @@
 				if tc.repeat {
 					state = repeatOf(tc.crashes, 7)
 				}
+				state.Streaming = tc.streaming
 				ids, refused := f.choices(state)
 				if len(ids) != tc.want {
 					t.Errorf("placed on %v, want %d endpoints", ids, tc.want)
@@ -102,6 +112,69 @@
 	}
 }
 
+// Guards against a request that takes the last endpoint of a group because another one explains the crash
+// at which it was. It is not held back otherwise.
+func TestBystanderLeavesLastEndpoint(t *testing.T) {
+	for _, tc := range []struct {
+		endpoints, down, want int
+		streaming             bool
+	}{
+		{endpoints: 3, down: 0, want: 2},
+		{endpoints: 3, down: 1, want: 1},
+		{endpoints: 3, down: 2, want: 0},
+		{endpoints: 3, down: 2, streaming: true, want: 1},
+		{endpoints: 1, down: 0, want: 1},
+	} {
+		t.Run(fmt.Sprintf("%d of %d down, streaming=%t", tc.down, tc.endpoints, tc.streaming), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				for i := range tc.endpoints {
+					f.addPlain(fmt.Sprint("p", i), "a")
+				}
+				time.Sleep(time.Minute)
+				for i := range tc.down {
+					f.markDown(fmt.Sprint("p", i))
+				}
+				state := relay.AttemptState{Streaming: tc.streaming, Suspicion: relay.Suspicion{Bystander: true, Key: 7}}
+				if ids, _ := f.choices(state); len(ids) != tc.want {
+					t.Errorf("placed on %v, want %d endpoints", ids, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against suspects of different crashes that each run on an endpoint of their own, and together
+// crash all that are up.
+func TestSuspectsOfSeveralCrashesShareEndpoints(t *testing.T) {
+	for _, endpoints := range []int{3, 6} {
+		for name, others := range map[string]bool{"of one crash": false, "of several crashes": true} {
+			t.Run(fmt.Sprint(endpoints, " endpoints, ", name), func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T, f *fixture) {
+					for i := range endpoints {
+						f.addPlain(fmt.Sprint("p", i), "a")
+					}
+					used := map[string]bool{}
+					for key := range uint32(20) {
+						state := repeatOf(1, key+1)
+						state.Suspicion.Others = others
+						ids, _ := f.choices(state)
+						for _, id := range ids {
+							used[id] = true
+						}
+					}
+					want := endpoints
+					if others {
+						want = endpoints - 2
+					}
+					if len(used) != want {
+						t.Errorf("20 suspects run on %v, want %d endpoints", used, want)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against a suspect that crashes the last engine that serves, because another one counts as up
 // while it changes its role.
 func TestChangingEnginesDoNotReplaceOthers(t *testing.T) {
--- a/poison/copies.go
+++ b/poison/copies.go
@@ -123,7 +123,10 @@
 // awaitCopies waits until the other VMs have announced the copies that they run of a request whose
 // endpoint has crashed, if the request is a suspect and the endpoint belongs to a small group.
 func (g *Guard) awaitCopies(r *relay.Request, e *directory.Endpoint) {
-	if !g.runs.isDown(e) || !g.inSmallGroup(e) || g.ledger.Suspicion(KeyOf(r), OriginOf(r)) == 0 {
+	if !g.runs.isDown(e) || !g.inSmallGroup(e) {
+		return
+	}
+	if crashes, _ := g.ledger.Suspicion(KeyOf(r), OriginOf(r)); crashes == 0 {
 		return
 	}
 	time.Sleep(g.cfg.PropagationDelay())
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -79,12 +79,13 @@
 	if failed := g.refusal(r, key, origin); failed != nil {
 		return relay.Suspicion{}, failed
 	}
-	crashes := g.ledger.Suspicion(key, origin)
-	if crashes == 0 {
+	g.ledger.RecordArrival(key, origin, r.ID)
+	crashes, bystander := g.ledger.Suspicion(key, origin)
+	if crashes == 0 && !bystander {
 		return relay.Suspicion{}, nil
 	}
 	return relay.Suspicion{
-		Crashes: crashes, Key: binary.BigEndian.Uint32(key[:]),
+		Crashes: crashes, Bystander: bystander, Key: binary.BigEndian.Uint32(key[:]), Others: g.ledger.OthersSuspected(key),
 		CopiesOn: g.copies.on(key, g.cfg.Directory.Snapshot().Service(r.Service), g.now()),
 	}, nil
 }
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -69,11 +69,15 @@
 	suspects map[Subject]bool
 	// attributed is set once one of the suspects is quarantined.
 	attributed bool
+	// repeated is set once one of the suspects has come again or was at work at another crash.
+	repeated bool
 }
 
 // suspect is a request that was running on endpoints that crashed.
 type suspect struct {
 	crashes map[uint64]bool
+	// request is the ID of the request on this VM, or empty.
+	request string
 	// lastUpdate is the time of the last report or release.
 	lastUpdate time.Time
 	// evaluateAt is when the next evaluation is due, or zero.
@@ -173,6 +177,12 @@
 			l.suspects[subject] = record
 		}
 		record.crashes[id], record.lastUpdate = true, now
+		if s.Request != "" {
+			record.request = s.Request
+		}
+		if len(record.crashes) > 1 {
+			l.markRepeated(record)
+		}
 	}
 }
 
--- a/poison/suspicion.go
+++ b/poison/suspicion.go
@@ -2,24 +2,66 @@
 
 import "time"
 
-// spontaneousRetention is how long after a crash that no request had caused the next one is assumed
-// to have no such cause either: an endpoint that fails by itself often does so again.
-const spontaneousRetention = 10 * time.Second
+const (
+	// spontaneousRetention is how long after a crash that no request had caused the next one is assumed
+	// to have no such cause either: an endpoint that fails by itself often does so again.
+	spontaneousRetention = 10 * time.Second
+	// repeatWait is how long after a crash one of its suspects has to come again for the crash not to be
+	// taken for spontaneous.
+	repeatWait = 2 * time.Second
+)
 
 // Suspicion returns the number of crashes that a request is suspected of. It does not count a crash
-// that another request explains better. A single crash raises no suspicion while endpoints crash by
-// themselves.
-func (l *Ledger) Suspicion(k Key, origin Origin) int {
+// that another request explains better; bystander is set if no others are left. A single crash raises no
+// suspicion while endpoints crash by themselves.
+func (l *Ledger) Suspicion(k Key, origin Origin) (crashes int, bystander bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	most := 0
+	present := 0
 	for _, s := range subjectsOf(k, origin) {
-		most = max(most, l.likelyCrashes(s))
+		crashes, present = max(crashes, l.likelyCrashes(s)), max(present, l.score(s))
 	}
-	if most == 1 && !l.lastSpontaneous.IsZero() && l.now().Sub(l.lastSpontaneous) <= spontaneousRetention {
-		return 0
+	if present == 0 || crashes <= 1 && l.otherSpontaneous(k, l.now()) {
+		return 0, false
+	}
+	return crashes, crashes == 0
+}
+
+// otherSpontaneous reports whether a crash within spontaneousRetention was caused by none of its
+// suspects: all were cleared, or none has come again within repeatWait. A crash says nothing about the
+// requests that were at work there themselves. The caller holds mu.
+func (l *Ledger) otherSpontaneous(k Key, now time.Time) bool {
+	if !l.lastSpontaneous.IsZero() && now.Sub(l.lastSpontaneous) <= spontaneousRetention {
+		return true
+	}
+	for _, c := range l.crashes {
+		age := now.Sub(c.recordedAt)
+		if age > repeatWait && age <= spontaneousRetention && !c.attributed && !c.repeated && !c.hasSuspect(k) {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordArrival records that a request has arrived. If it repeats a suspect, the crashes of that one are
+// not spontaneous.
+func (l *Ledger) RecordArrival(k Key, origin Origin, request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, subject := range subjectsOf(k, origin) {
+		if s := l.suspects[subject]; s != nil && s.request != request {
+			l.markRepeated(s)
+		}
+	}
+}
+
+// markRepeated records that a suspect has come again. The caller holds mu.
+func (l *Ledger) markRepeated(s *suspect) {
+	for id := range s.crashes {
+		if c := l.crashes[id]; c != nil {
+			c.repeated = true
+		}
 	}
-	return most
 }
 
 // likelyCrashes returns the part of a subject's score that no other request explains better. The
@@ -38,6 +80,25 @@
 	return n
 }
 
+// OthersSuspected reports whether other requests are suspected of a crash at which a request was not
+// at work: two requests that crash endpoints may be about.
+func (l *Ledger) OthersSuspected(k Key) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.crashes {
+		if !c.attributed && len(c.suspects) > 0 && !c.hasSuspect(k) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSuspect reports whether a request from any origin was at work.
+func (c *crash) hasSuspect(k Key) bool {
+	_, present := c.suspects[Subject{Key: k}]
+	return present
+}
+
 // explainedBetter reports whether another suspect of a crash was present at more crashes than a
 // subject that was present at the given number. The caller holds mu.
 func (l *Ledger) explainedBetter(c *crash, k Subject, presence int) bool {
--- a/poison/suspicion_test.go
+++ b/poison/suspicion_test.go
@@ -12,7 +12,8 @@
 
 // suspicionOf returns the crashes that a named request is suspected of, from its own origin.
 func (l *testLedger) suspicionOf(name string) int {
-	return l.Suspicion(key(name), Origin(name[0]))
+	crashes, _ := l.Suspicion(key(name), Origin(name[0]))
+	return crashes
 }
 
 // A request is suspected of the crashes at which it was at work, but not of those that another
@@ -54,16 +55,108 @@
 	}
 }
 
+// A single crash raises no suspicion while endpoints crash by themselves, which shows also where callers
+// do not repeat the requests that ran there. A request that comes again keeps its crash from counting so.
+func TestUnrepeatedCrashIsSpontaneous(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		arrival string
+		// again is whether the request a was at work at a further crash.
+		again bool
+		wait  time.Duration
+		want  int
+	}{
+		{name: "none has come again", wait: repeatWait + time.Second, want: 0},
+		{name: "too early to tell", wait: repeatWait - time.Second, want: 1},
+		{name: "long ago", wait: spontaneousRetention + time.Second, want: 1},
+		{name: "a request has come again", arrival: "another", wait: repeatWait + time.Second, want: 1},
+		{name: "it was planned anew", arrival: "a", wait: repeatWait + time.Second, want: 0},
+		{name: "a request was at two crashes", again: true, wait: repeatWait + time.Second, want: 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newTestLedger()
+			first := suspectsNamed("a")
+			first[0].Request = "a"
+			l.RecordCrash(Crash{ID: 1, Suspects: first})
+			if tc.again {
+				l.RecordCrash(Crash{ID: 2, Suspects: suspectsNamed("a")})
+			}
+			if tc.arrival != "" {
+				l.RecordArrival(key("a"), 'a', tc.arrival)
+			}
+			l.advance(tc.wait)
+			l.RecordCrash(Crash{ID: 3, Suspects: suspectsNamed("b")})
+			if got := l.suspicionOf("b"); got != tc.want {
+				t.Errorf("suspected of %d crashes, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a request that takes the last endpoint because another one, which was at more crashes,
+// explains its first.
+func TestBystander(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes []string
+		want    bool
+	}{
+		{name: "the only suspect", crashes: []string{"a"}},
+		{name: "beside another one", crashes: []string{"ab"}},
+		{name: "beside another one that was at a further crash", crashes: []string{"ab", "b"}, want: true},
+		{name: "elsewhere", crashes: []string{"b", "b"}},
+		{name: "after events, beside one that had none", crashes: []string{"Ab", "b"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newTestLedger()
+			for i, names := range tc.crashes {
+				l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
+			}
+			if _, got := l.Suspicion(key("a"), 'a'); got != tc.want {
+				t.Errorf("bystander: %t", got)
+			}
+		})
+	}
+}
+
+// Two requests that crash endpoints are told apart from one by crashes that have no suspect in common.
+func TestOthersSuspected(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		crashes []string
+		cleared string
+		want    bool
+	}{
+		{name: "its own crash", crashes: []string{"ab"}},
+		{name: "another crash", crashes: []string{"ab", "c"}, want: true},
+		{name: "another crash, without suspects", crashes: []string{"ab", ""}},
+		{name: "another crash, its suspects cleared", crashes: []string{"ab", "c"}, cleared: "c"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newTestLedger()
+			for i, names := range tc.crashes {
+				l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
+			}
+			for _, c := range tc.cleared {
+				l.Clear(key(string(c)), Origin(c))
+			}
+			if got := l.OthersSuspected(key("a")); got != tc.want {
+				t.Errorf("others suspected: %t", got)
+			}
+		})
+	}
+}
+
 // A request from another origin is suspected only if nothing else of the original origin was at
 // work: otherwise a caller could hold back another's request by sending a copy beside a harmful one.
 func TestSuspicionOfOtherOrigins(t *testing.T) {
 	victim, harmful := key("victim"), key("harmful")
 	l := newTestLedger()
 	l.RecordCrash(Crash{ID: 1, Suspects: []Suspect{{Key: victim, Origin: 7}, {Key: harmful, Origin: 7}}})
-	if got := l.Suspicion(victim, 8); got != 0 {
+	if got, _ := l.Suspicion(victim, 8); got != 0 {
 		t.Errorf("suspected of %d crashes from another origin", got)
 	}
-	if got := l.Suspicion(victim, 7); got != 1 {
+	if got, _ := l.Suspicion(victim, 7); got != 1 {
 		t.Errorf("suspected of %d crashes from the origin of the copy", got)
 	}
 }
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -27,8 +27,13 @@
 type Suspicion struct {
 	// Crashes is the number of endpoints that the request is suspected of having crashed.
 	Crashes int
-	// Key identifies the request across its repetitions. It is zero if Crashes is.
+	// Bystander is set if Crashes is zero because another request explains each crash at which this one was
+	// at work better. Two requests that crash endpoints may have been there.
+	Bystander bool
+	// Key identifies the request across its repetitions. It is zero if Crashes is and Bystander is not set.
 	Key uint32
+	// Others is set if other requests are suspected of crashes at which this one was not at work.
+	Others bool
 	// CopiesOn holds the IDs of the endpoints on which copies of the request are known to be running.
 	CopiesOn []string
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -156,7 +156,7 @@
 	}
 	state := AttemptState{
 		Number: len(j.tried) + j.replans, Tried: j.tried, Handle: j.handle,
-		Colocated: j.prefilled && j.handle == nil, Suspicion: j.suspicion,
+		Colocated: j.prefilled && j.handle == nil, Suspicion: j.suspicion, Streaming: j.streaming(),
 	}
 	if j.held != nil {
 		state.Tried = append(slices.Clip(state.Tried), j.held.plan.Serve.ID)
--- a/relay/request.go
+++ b/relay/request.go
@@ -185,6 +185,8 @@
 	Handle *KVHandle
 	// Colocated requires one engine that both prefills and decodes.
 	Colocated bool
+	// Streaming is set if the request has produced events.
+	Streaming bool
 	// Suspicion is the evidence that the request crashes endpoints.
 	Suspicion Suspicion
 	// HeardSince, if set, excludes endpoints that have sent this VM nothing since then. It is set
