placement: prefill a long prompt on a decode engine also after short ones

Cause: such an engine prefills a long prompt only while it has nothing else to prefill. With short prompts arriving all the time it nearly always has.

Change: it may have short prompts open, up to direct-tokens. A second long one is refused as before. placement.TestShortPromptsDoNotBlockLongOnes failed before.

--- a/placement/direct.go
+++ b/placement/direct.go
@@ -29,13 +29,13 @@
 
 // mayPrefillDirectly reports whether an engine that decodes may prefill a prompt, given the tokens
 // that are still to be prefilled there and those of the prompt. While no engine that prefills is up,
-// it prefills one longer prompt at a time: refusing these prompts would leave it idle, and several
-// would delay its streams for too long.
+// it prefills one longer prompt at a time, also after short ones: refusing these prompts would leave it
+// idle, and several would delay its streams for too long.
 func (d *decision) mayPrefillDirectly(open, uncached int, prefillersUp bool) bool {
 	if d.prior.Colocated || open+uncached <= d.p.tuning.DirectTokens {
 		return true
 	}
-	return open == 0 && !prefillersUp
+	return open <= d.p.tuning.DirectTokens && !prefillersUp
 }
 
 // prefillersUp reports whether an engine of the service that prefills is up, whether or not it
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -65,6 +65,30 @@
 	})
 }
 
+// Guards against refusing long prompts while no engine that prefills is up and those that decode have only
+// short prompts to prefill, which they nearly always have.
+func TestShortPromptsDoNotBlockLongOnes(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		open uint32
+		want bool
+	}{
+		{"short prompts", 400, true},
+		{"a long prompt", 6000, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.addEngine("d", "a", engine.Decode)
+				f.complete(f.plan(f.shortReq(), relay.AttemptState{}))
+				f.setPeerWork("d", 1, tc.open)
+				if _, failed := f.planner.Plan(f.longReq("s"), relay.AttemptState{}); (failed == nil) != tc.want {
+					t.Errorf("got %v", failed)
+				}
+			})
+		})
+	}
+}
+
 // Guards against refusing long prompts while every engine that prefills is gone and engines that
 // decode are free. Each of these prefills one long prompt at a time; more are refused at once.
 func TestLongPromptsWithoutPrefillEngines(t *testing.T) {
