placement: a group's reference is its largest size of the last ten seconds

Cause: the peak of a group was reset ten seconds after the group had first begun to shrink, to the size of that moment, however short before the group had shrunk again.

Ruled out: that the VM did not know of the crashes; 400 ms lie between, and it had refused the request meanwhile.

Change: sizes are kept until ten seconds after they ended.

--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -17,8 +17,8 @@
 	downTTL = 5 * time.Second
 	// downRetryInterval is how often a VM tries a down endpoint if no other is left.
 	downRetryInterval = 200 * time.Millisecond
-	// groupPeakTTL is how long the previous size of a group that has shrunk is its reference: longer
-	// than it takes to replace a crashed endpoint.
+	// groupPeakTTL is how long a former size of a group that has shrunk is its reference: longer than it
+	// takes to replace a crashed endpoint.
 	groupPeakTTL = 10 * time.Second
 	// suspectRetryAfter is the shortest time after which a suspect should retry. It takes seconds to
 	// replace a crashed endpoint.
@@ -67,9 +67,14 @@
 // groupSize is the number of endpoints of a group that are up.
 type groupSize struct {
 	current int
-	// peak is the largest size since shrunkAt, which is when the group last began to shrink.
-	peak     int
-	shrunkAt time.Time
+	// earlier holds larger sizes within groupPeakTTL, the largest and oldest first.
+	earlier []earlierSize
+}
+
+// earlierSize is a size that a group had until a time.
+type earlierSize struct {
+	size  int
+	until time.Time
 }
 
 // groupSizes holds the size of each group.
@@ -77,19 +82,23 @@
 
 // record records the current size of a group.
 func (s *groupSize) record(now time.Time, size int) {
-	if s.current >= s.peak || now.Sub(s.shrunkAt) > groupPeakTTL {
-		s.peak, s.shrunkAt = s.current, now
+	if size < s.current {
+		s.earlier = append(s.earlier, earlierSize{s.current, now})
 	}
 	s.current = size
+	s.earlier = slices.DeleteFunc(s.earlier, func(e earlierSize) bool {
+		return e.size <= size || now.Sub(e.until) > groupPeakTTL
+	})
 }
 
-// reference returns the size of the group before it shrank, or its current size if that was longer
-// than groupPeakTTL ago.
+// reference returns the largest size that the group had within groupPeakTTL.
 func (s *groupSize) reference(now time.Time) int {
-	if now.Sub(s.shrunkAt) > groupPeakTTL {
-		return s.current
+	for _, e := range s.earlier {
+		if now.Sub(e.until) <= groupPeakTTL {
+			return e.size
+		}
 	}
-	return max(s.current, s.peak)
+	return s.current
 }
 
 // recordGroups records the sizes of all groups. The caller holds mu.
