poison: a VM that was suspended reads the announcements of crashes first

Cause: as the gateway wakes, the requests that have arrived meanwhile are placed before the announcements that wait in its socket are read.

Change: the rounds of datagrams show a stall of 0.1 s or more. A request that is placed before the VM has caught up waits for 10 ms.

loadshare.TestStallDetector, poison.TestSuspendedVMProcessesAnnouncementsFirst (its case without the wait is the former behaviour).

--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -120,8 +120,9 @@
 // Exchange sends this VM's load to its peers and receives theirs. It is safe for concurrent use. No
 // other lock is acquired while mu is held.
 type Exchange struct {
-	cfg  Config
-	boot uint64
+	cfg   Config
+	boot  uint64
+	stall *stallDetector
 
 	mu           sync.Mutex
 	region       region
@@ -140,7 +141,7 @@
 // New returns an Exchange without peers.
 func New(cfg Config) *Exchange {
 	self := Peer{Name: cfg.VM, Zone: cfg.Zone, Capacity: cfg.Capacity}
-	return &Exchange{cfg: cfg, boot: rand.Uint64(), lastReceived: map[string]datagramID{}, region: newRegion(self), outbox: newOutbox(), echoes: newEchoes()}
+	return &Exchange{cfg: cfg, boot: rand.Uint64(), stall: newStallDetector(), lastReceived: map[string]datagramID{}, region: newRegion(self), outbox: newOutbox(), echoes: newEchoes()}
 }
 
 // SetPeers replaces the peers.
@@ -223,7 +224,7 @@
 // send runs the rounds of datagrams to the peers until ctx ends.
 func (x *Exchange) send(ctx context.Context, conn *net.UDPConn) {
 	var throttle idleThrottle
-	for loop.Sleep(ctx, x.interval()) {
+	for x.awaitRound(ctx) {
 		list := x.messages(&throttle)
 		total, toZone := 0, 0
 		for _, m := range list {
@@ -239,6 +240,13 @@
 	}
 }
 
+// awaitRound waits for the next round and reports whether ctx has not ended.
+func (x *Exchange) awaitRound(ctx context.Context) bool {
+	interval := x.interval()
+	x.stall.expect(clock.Now(), interval)
+	return loop.Sleep(ctx, interval)
+}
+
 // messages returns the messages of this round. While there is no work it returns none, except in
 // the first round after the work ended and at each heartbeat.
 func (x *Exchange) messages(throttle *idleThrottle) []message {
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -28,6 +28,9 @@
 	// to reach them.
 	Broadcast        func(loadshare.Announcement)
 	PropagationDelay func() time.Duration
+	// Stalled reports whether announcements of other VMs may have arrived that are not processed yet, since
+	// this VM was suspended. Nil means that none have.
+	Stalled func() bool
 	// Directory holds the registered endpoints.
 	Directory *directory.Directory
 	// Rows and Feed access the platform's store.
@@ -56,6 +59,9 @@
 
 // NewGuard returns a guard without any suspects or quarantine entries.
 func NewGuard(cfg Config) *Guard {
+	if cfg.Stalled == nil {
+		cfg.Stalled = func() bool { return false }
+	}
 	g := &Guard{cfg: cfg, now: clock.OrSystem(cfg.Now), copies: newCopyTracker()}
 	g.ledger = NewLedger(cfg.Now, func() time.Duration { return cfg.PropagationDelay() + propagationMargin })
 	g.store = NewQuarantineStore(g.ledger, cfg.Rows, cfg.Feed)
@@ -72,6 +78,9 @@
 // Check implements relay.Guard. It hashes the request only if the ledger holds a suspect or a
 // quarantine entry.
 func (g *Guard) Check(r *relay.Request) (relay.Suspicion, *failure.Request) {
+	if g.cfg.Stalled() {
+		time.Sleep(loadshare.CatchUpTime)
+	}
 	if g.ledger.Empty() {
 		return relay.Suspicion{}, nil
 	}
--- a/poison/suspicion_test.go
+++ b/poison/suspicion_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/loadshare"
+	"github.com/springweir/springweir/loadshare/sharepb"
 	"github.com/springweir/springweir/relay"
 )
 
@@ -93,6 +96,26 @@
 	}
 }
 
+// Guards against a VM that was suspended and sends a request at once, though the announcement of a crash
+// that it has caused waits to be processed.
+func TestSuspendedVMProcessesAnnouncementsFirst(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		t.Run(fmt.Sprint("stalled=", stalled), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRegion(t, 1)
+				defer r.stopAll()
+				g, q := r.vms["vm0"], request("c", "id", "poison")
+				g.cfg.Stalled = func() bool { return stalled }
+				key := KeyOf(q)
+				go g.Receive(loadshare.Announcement{Crashes: []*sharepb.Crash{{Id: 1, Suspects: []*sharepb.Suspect{{Key: key[:], Origin: uint32(OriginOf(q))}}}}})
+				if suspicion, _ := g.Check(q); (suspicion.Crashes == 1) != stalled {
+					t.Errorf("suspected of %d crashes", suspicion.Crashes)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a request that takes the last endpoint because another one, which was at more crashes,
 // explains its first.
 func TestBystander(t *testing.T) {
