--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -133,6 +133,8 @@
 		{"a gap halves the cached tokens", []member{{name: "e1", role: engine.Mixed, cached: hashChain(400, 1)}, {name: "e2", role: engine.Mixed, cached: hashChain(500, 1), gap: true}}, long, "e1"},
 		{"pair for a long prompt beside decoding", []member{{name: "p1", role: engine.Prefill}, {name: "d1", role: engine.Decode, load: decoding}}, long, "p1>d1"},
 		{"decode engine prefills a short prompt", []member{{name: "p1", role: engine.Prefill, load: busy}, {name: "d1", role: engine.Decode, load: decoding}}, newRequest(50, 10), "d1"},
+		{"a long prompt without a prefill engine", []member{{name: "d1", role: engine.Decode, load: decoding}}, long, "d1"},
+		{"a long prompt behind others without a prefill engine", []member{{name: "p1", role: engine.Prefill, health: health.Status{Phase: health.Ejected, Until: now + 1}}, {name: "d1", role: engine.Decode, load: busy}}, long, "d1"},
 		{"stale report is ignored", []member{{name: "e1", role: engine.Mixed, load: busy, age: 20 * time.Second}, {name: "e2", role: engine.Mixed, load: decoding}}, newRequest(100, 10), "e1"},
 		{"memory full", []member{{name: "e1", role: engine.Mixed, load: engine.Load{Running: 2, KVUsed: 399_000, DecodeTokens: 1000}}, {name: "e2", role: engine.Mixed, load: engine.Load{Running: 2, KVUsed: 8000, DecodeTokens: 8000}}}, newRequest(8000, 200), "e2"},
 	}
