Move code between files: sizes of groups, load of an endpoint, reports of VMs, inquiries, tests of stalls

No logic changes: sorted lines are equal but for imports and one comment (reach.Client.Connect: none has answered, not none could be asked).

--- a/placement/loadtracker.go
+++ b/placement/loadtracker.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"maps"
-	"sync/atomic"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -13,117 +11,6 @@
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
-// work is the total of the requests in flight at one endpoint.
-type work struct {
-	// prefill is the prefill still to be done. kvTokens is the cache memory reserved for the
-	// running requests, in tokens.
-	prefill  prefillWork
-	kvTokens int
-	running  int
-}
-
-func (w *work) add(o work) {
-	w.prefill = w.prefill.plus(o.prefill)
-	w.kvTokens += o.kvTokens
-	w.running += o.running
-}
-
-func (w *work) sub(o work) {
-	w.prefill = w.prefill.minus(o.prefill)
-	w.kvTokens -= o.kvTokens
-	w.running -= o.running
-}
-
-// endpointLoad is this VM's state of one incarnation of an endpoint, beyond its registration.
-type endpointLoad struct {
-	id        string
-	startedAt int64
-	hash      uint32
-	local     work
-	// cache is nil for endpoints that are not engines.
-	cache *cacheModel
-	// downAt is when the endpoint was found to accept no more connections; zero if it was not, or if
-	// it has served a request that was sent since.
-	downAt time.Time
-	// pausedUntil is the end of the pause after a refusal, and refusals counts consecutive ones.
-	pausedUntil time.Time
-	refusals    int
-	// unreachable counts consecutive attempts for which this VM could not connect.
-	unreachable int
-	// heardAt is when the endpoint last sent this VM a response or an event, in nanoseconds since the
-	// planner's start: steps of the clock do not affect it.
-	heardAt atomic.Int64
-}
-
-// recordHeard records that the endpoint has sent something. It takes no lock, since each event of a
-// stream calls it.
-func (e *endpointLoad) recordHeard(sinceStart time.Duration) { e.heardAt.Store(int64(sinceStart)) }
-
-// heardSince reports whether the endpoint has sent something after a time since the planner's start.
-func (e *endpointLoad) heardSince(sinceStart time.Duration) bool {
-	return e.heardAt.Load() > int64(sinceStart)
-}
-
-const (
-	// minPause is the pause after a first refusal. It doubles with each consecutive one, up to
-	// maxPause: a full endpoint may have capacity soon, one that changes its role refuses for
-	// seconds.
-	minPause = 25 * time.Millisecond
-	maxPause = 800 * time.Millisecond
-	// peerRefusals is the number of refusals assumed for an endpoint that a peer reports as
-	// refusing. The first refusal that this VM receives then starts a longer pause, so that the VMs
-	// do not all retry the endpoint whenever one of them does.
-	peerRefusals = 4
-	// wrongIncarnationPause is the pause of an endpoint whose incarnation differs from its row; a
-	// new row arrives within about one second.
-	wrongIncarnationPause = time.Second
-)
-
-// recordRefusal pauses the endpoint. One that has another incarnation or role than its row shows is
-// paused until the row is likely to be updated.
-func (e *endpointLoad) recordRefusal(now time.Time, code failure.Reason) {
-	pause := pauseAfter(e.refusals)
-	if code == failure.WrongIncarnation {
-		pause = wrongIncarnationPause
-	}
-	e.pausedUntil = now.Add(pause)
-	e.refusals++
-}
-
-// recordUnreachable pauses the endpoint for this VM only: others may reach it.
-func (e *endpointLoad) recordUnreachable(now time.Time) {
-	e.pausedUntil = now.Add(pauseAfter(e.unreachable))
-	e.unreachable++
-}
-
-// pauseAfter returns the pause after the given number of consecutive failures.
-func pauseAfter(failures int) time.Duration { return min(minPause<<min(failures, 8), maxPause) }
-
-// source identifies what one report covers: a segment of the work of a VM, or of the sum of a zone
-// or the region. A sum has the same source whichever VM collected it.
-type source struct {
-	vm, zone string
-	region   bool
-	segment  uint32
-}
-
-func sourceOf(load *sharepb.Load) source {
-	switch {
-	case load.RegionSum:
-		return source{region: true, segment: load.Segment}
-	case load.ZoneSum:
-		return source{zone: load.Zone, segment: load.Segment}
-	}
-	return source{vm: load.Vm, segment: load.Segment}
-}
-
-// peerLoad is the last report of a source.
-type peerLoad struct {
-	work       []*sharepb.Work
-	refusing   []uint32
-	receivedAt time.Time
-}
-
 // loadTracker holds the load of all endpoints, from this VM and from its peers. It is not safe for
 // concurrent use; the Planner's lock guards it.
 type loadTracker struct {
@@ -282,74 +169,6 @@
 	}
 }
 
-// receive records the work that a peer reported.
-func (t *loadTracker) receive(now time.Time, load *sharepb.Load) {
-	if !load.NoWork {
-		t.replace(now, sourceOf(load), load)
-	}
-}
-
-// replace replaces the previous report of a source, and drops segments that the source no longer
-// uses: their endpoints are now in other segments.
-func (t *loadTracker) replace(now time.Time, from source, load *sharepb.Load) {
-	if last, ok := t.peers[from]; ok {
-		t.reportInterval += (now.Sub(last.receivedAt) - t.reportInterval) / reportIntervalSamples
-	}
-	t.dropOverlapping(from.region)
-	t.subtract(from)
-	t.peers[from] = peerLoad{work: load.Work, refusing: load.Refusing, receivedAt: now}
-	unused := from
-	for unused.segment = load.Segments; unused.segment > 0; unused.segment++ {
-		if _, ok := t.peers[unused]; !ok {
-			break
-		}
-		t.subtract(unused)
-	}
-	for _, id := range load.Changing {
-		t.changing[id] = now.Add(roleChangeTTL)
-	}
-	for _, hash := range load.Refusing {
-		if e := t.byHash[hash]; e != nil {
-			e.refusals = max(e.refusals, peerRefusals)
-			t.refused[e] = true
-		}
-	}
-	for _, w := range load.Work {
-		sum := t.peerWork[w.Endpoint]
-		sum.add(workFromProto(w))
-		t.peerWork[w.Endpoint] = sum
-	}
-}
-
-// dropOverlapping drops the sum of the region when a narrower report arrives, and narrower reports
-// when the sum arrives. A VM receives one kind until its collector is replaced; keeping both would
-// count work twice.
-func (t *loadTracker) dropOverlapping(region bool) {
-	for from := range t.peers {
-		if from.region != region {
-			t.subtract(from)
-		}
-	}
-}
-
-// reportIntervalSamples is the number of reports in the moving average of their interval: those of
-// about 50 ms in a large region.
-const reportIntervalSamples = 16
-
-// subtract removes the last report of a source.
-func (t *loadTracker) subtract(from source) {
-	for _, w := range t.peers[from].work {
-		sum := t.peerWork[w.Endpoint]
-		sum.sub(workFromProto(w))
-		if sum == (work{}) {
-			delete(t.peerWork, w.Endpoint)
-		} else {
-			t.peerWork[w.Endpoint] = sum
-		}
-	}
-	delete(t.peers, from)
-}
-
 // roleChangeTTL is how long an engine is assumed to be changing its role after the last report of
 // it: a change takes three seconds and is visible one second later. The VM that ordered it may fail
 // meanwhile, and an engine that refuses looks idle: without this, the other VMs sent it up to 100
@@ -444,25 +263,6 @@
 	return list
 }
 
-// expire drops role changes and peer reports whose TTL has passed.
-func (t *loadTracker) expire(now time.Time) {
-	maps.DeleteFunc(t.changing, func(_ uint32, until time.Time) bool { return !now.Before(until) })
-	for from, p := range t.peers {
-		if now.Sub(p.receivedAt) > loadshare.TTL {
-			t.subtract(from)
-		}
-	}
-}
-
-// oldestReportAge returns the age of the oldest report of a peer.
-func (t *loadTracker) oldestReportAge(now time.Time) time.Duration {
-	var oldest time.Duration
-	for _, p := range t.peers {
-		oldest = max(oldest, now.Sub(p.receivedAt))
-	}
-	return oldest
-}
-
 func workToProto(endpoint uint32, w work) *sharepb.Work {
 	return &sharepb.Work{
 		Endpoint:      endpoint,
--- /dev/null
+++ b/reach/inquiry.go
@@ -0,0 +1,102 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/failure"
+)
+
+// Connect opens a connection to an endpoint for the next request. If this VM does not reach the
+// endpoint, others are asked. The error wraps unix.ECONNREFUSED only if they find the endpoint down
+// too, or if none has answered and this VM reaches other endpoints.
+func (c *Client) Connect(ctx context.Context, e *directory.Endpoint) error {
+	err := c.cfg.Direct.Connect(ctx, e)
+	if err == nil {
+		c.recordOpen(e)
+	}
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	switch v := c.inquire(ctx, e, err); {
+	case v == endpointDown, v == noVM && c.Works(ctx, e):
+		return err
+	case v == responded, v == noVM && ctx.Err() == nil:
+		c.recordBroken(e, err)
+	}
+	return unreached(err)
+}
+
+// inquire asks other VMs whether they reach an endpoint, all at once, after a connection of this VM has
+// failed. What they say counts also for later requests, so it is not cut short by the end of ctx.
+//
+// A VM that is suspended does not answer, and must not delay the news of a crash: until then the endpoint
+// and those that replace it receive the request that has crashed it again. If this VM was refused and
+// reaches others of the zone, the verdict of those that have answered within inquiryPatience suffices, and
+// after inquiryLimit its own.
+func (c *Client) inquire(ctx context.Context, e *directory.Endpoint, cause error) verdict {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inquiryTimeout)
+	vms := c.choose(e)
+	answers, own := c.askAll(ctx, cancel, vms, e), make(chan bool, 1)
+	if len(vms) > 0 && errors.Is(cause, unix.ECONNREFUSED) {
+		go func() { own <- c.Works(ctx, e) }()
+	}
+	patience, limit := time.After(inquiryPatience), time.After(inquiryLimit)
+	var all verdicts
+	var works, patient, late = false, true, false
+	for pending := len(vms); pending > 0; {
+		select {
+		case v := <-answers:
+			if v == responded {
+				return responded
+			}
+			all.add(v)
+			pending--
+		case works = <-own:
+		case <-patience:
+			patient = false
+		case <-limit:
+			late = true
+		}
+		if works && !patient && all.sum() == endpointDown || works && late && !all.answered() {
+			return endpointDown
+		}
+	}
+	return all.sum()
+}
+
+// askAll asks VMs at once whether they reach an endpoint, and calls done after the last answer.
+func (c *Client) askAll(ctx context.Context, done func(), vms []VM, e *directory.Endpoint) <-chan verdict {
+	answers := make(chan verdict, len(vms))
+	var asked sync.WaitGroup
+	for _, vm := range vms {
+		asked.Go(func() { answers <- c.judge(ctx, vm, e, c.cfg.Hop.Connect(ctx, vm.Peer, e)) })
+	}
+	go func() {
+		asked.Wait()
+		done()
+	}()
+	return answers
+}
+
+// unreached returns the error of a connection to an endpoint that may be up. It does not wrap the
+// cause, which may be a refused connection.
+func unreached(cause error) *Error {
+	return &Error{Code: failure.EndpointUnreachable, Message: cause.Error()}
+}
+
+// RefusalIsOwn reports whether a connection that an endpoint refused may be due to this VM's network: it
+// does not reach other endpoints of the zone.
+func (c *Client) RefusalIsOwn(ctx context.Context, e *directory.Endpoint) bool {
+	c.mu.Lock()
+	broken := c.tracker.BrokenInZone(e.Zone)
+	c.mu.Unlock()
+	mayBeUp := func(other *directory.Endpoint) bool { return !c.cfg.Down(other) }
+	return slices.ContainsFunc(broken, mayBeUp) || !c.Works(ctx, e)
+}
