poison: an unrepeated crash leaves the last endpoint to others

A VM at which the suspects of a crash have not come again takes endpoints to crash by themselves. They may have come again at other VMs: a body that comes once a second reaches one of four VMs in two seconds in 44 of 100 cases only. A suspect of another crash could then take the last endpoint. Found by reading; such a request counts as a bystander now, and only clearances free it whole.

reach: the state of an inquiry is a type of its own; no change of logic.

--- a/poison/suspicion.go
+++ b/poison/suspicion.go
@@ -6,14 +6,15 @@
 	// spontaneousRetention is how long after a crash that no request had caused the next one is assumed
 	// to have no such cause either: an endpoint that fails by itself often does so again.
 	spontaneousRetention = 10 * time.Second
-	// repeatWait is how long after a crash one of its suspects has to come again for the crash not to be
-	// taken for spontaneous.
+	// repeatWait is how long after a crash one of its suspects has to come again for the crash not to
+	// appear spontaneous.
 	repeatWait = 2 * time.Second
 )
 
 // Suspicion returns the number of crashes that a request is suspected of. It does not count a crash
 // that another request explains better; bystander is set if no others are left. A single crash raises no
-// suspicion while endpoints crash by themselves.
+// suspicion while endpoints crash by themselves. If that only appears so, since the requests that were at
+// work at another crash have not come again at this VM, the request is a bystander.
 func (l *Ledger) Suspicion(k Key, origin Origin) (crashes int, bystander bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -21,19 +22,26 @@
 	for _, s := range subjectsOf(k, origin) {
 		crashes, present = max(crashes, l.likelyCrashes(s)), max(present, l.score(s))
 	}
-	if present == 0 || crashes <= 1 && l.otherSpontaneous(k, l.now()) {
+	switch {
+	case present == 0, crashes <= 1 && l.recentlySpontaneous():
 		return 0, false
+	case crashes <= 1 && l.otherUnrepeated(k):
+		return 0, true
 	}
 	return crashes, crashes == 0
 }
 
-// otherSpontaneous reports whether a crash within spontaneousRetention was caused by none of its
-// suspects: all were cleared, or none has come again within repeatWait. A crash says nothing about the
-// requests that were at work there themselves. The caller holds mu.
-func (l *Ledger) otherSpontaneous(k Key, now time.Time) bool {
-	if !l.lastSpontaneous.IsZero() && now.Sub(l.lastSpontaneous) <= spontaneousRetention {
-		return true
-	}
+// recentlySpontaneous reports whether a crash was caused by none of its suspects, as all were cleared
+// within spontaneousRetention. The caller holds mu.
+func (l *Ledger) recentlySpontaneous() bool {
+	return !l.lastSpontaneous.IsZero() && l.now().Sub(l.lastSpontaneous) <= spontaneousRetention
+}
+
+// otherUnrepeated reports whether none of the suspects of a crash within spontaneousRetention has come
+// again within repeatWait. A crash says nothing about the requests that were at work there themselves.
+// The caller holds mu.
+func (l *Ledger) otherUnrepeated(k Key) bool {
+	now := l.now()
 	for _, c := range l.crashes {
 		age := now.Sub(c.recordedAt)
 		if age > repeatWait && age <= spontaneousRetention && !c.attributed && !c.repeated && !c.hasSuspect(k) {
--- a/reach/inquiry.go
+++ b/reach/inquiry.go
@@ -33,13 +33,31 @@
 	return unreached(err)
 }
 
-// inquire asks other VMs whether they reach an endpoint, all at once, after a connection of this VM has
-// failed. What they say counts also for later requests, so it is not cut short by the end of ctx.
+// inquiry is what is known so far of an endpoint to which a connection of this VM has failed.
 //
 // A VM that is suspended does not answer, and must not delay the news of a crash: until then the endpoint
 // and those that replace it receive the request that has crashed it again. If this VM was refused and
 // reaches others of the zone, the verdict of those that have answered within inquiryPatience suffices, and
 // after inquiryLimit its own.
+type inquiry struct {
+	// answers sums up what other VMs have said.
+	answers verdicts
+	// works is set once this VM, which was refused, is known to reach others of the zone.
+	works bool
+	// patienceOver and limitOver are set inquiryPatience and inquiryLimit after the start.
+	patienceOver, limitOver bool
+}
+
+// down reports whether the endpoint is known to be down before all VMs have answered.
+func (q *inquiry) down() bool {
+	if !q.works {
+		return false
+	}
+	return q.patienceOver && q.answers.sum() == endpointDown || q.limitOver && !q.answers.answered()
+}
+
+// inquire asks other VMs whether they reach an endpoint, all at once, after a connection of this VM has
+// failed. What they say counts also for later requests, so it is not cut short by the end of ctx.
 func (c *Client) inquire(ctx context.Context, e *directory.Endpoint, cause error) verdict {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inquiryTimeout)
 	vms := c.choose(e)
@@ -48,27 +66,26 @@
 		go func() { own <- c.Works(ctx, e) }()
 	}
 	patience, limit := time.After(inquiryPatience), time.After(inquiryLimit)
-	var all verdicts
-	var works, patient, late = false, true, false
+	var q inquiry
 	for pending := len(vms); pending > 0; {
 		select {
 		case v := <-answers:
 			if v == responded {
 				return responded
 			}
-			all.add(v)
+			q.answers.add(v)
 			pending--
-		case works = <-own:
+		case q.works = <-own:
 		case <-patience:
-			patient = false
+			q.patienceOver = true
 		case <-limit:
-			late = true
+			q.limitOver = true
 		}
-		if works && !patient && all.sum() == endpointDown || works && late && !all.answered() {
+		if q.down() {
 			return endpointDown
 		}
 	}
-	return all.sum()
+	return q.answers.sum()
 }
 
 // askAll asks VMs at once whether they reach an endpoint, and calls done after the last answer.
