--- a/reach/works.go
+++ b/reach/works.go
@@ -87,24 +87,35 @@
 	snapshot := c.cfg.Endpoints()
 	for _, other := range snapshot.All() {
 		switch {
-		case other.ID == e.ID, c.cfg.Down(other):
+		case other.ID == e.ID:
 		case other.Zone == e.Zone:
 			sameZone = append(sameZone, other)
 		default:
 			others = append(others, other)
 		}
 	}
-	sameZone, others = sampleOf(sameZone), sampleOf(others)
+	sameZone, others = c.sampleUp(sameZone), c.sampleUp(others)
 	if last := c.lastConnected(e.Zone); last != nil && last.ID != e.ID && snapshot.Endpoint(last.ID) != nil && !c.cfg.Down(last) && !slices.Contains(sameZone, last) {
 		sameZone = append(sameZone, last)
 	}
 	return sameZone, others
 }
 
-// sampleOf returns some of the endpoints, at random. It changes the order of list.
-func sampleOf(list []*directory.Endpoint) []*directory.Endpoint {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), sampledEndpoints)]
+// sampleUp returns some of the endpoints that are not known to be down, at random. It changes the order of
+// list.
+func (c *Client) sampleUp(list []*directory.Endpoint) []*directory.Endpoint {
+	var sample []*directory.Endpoint
+	for i := range list {
+		if len(sample) == sampledEndpoints {
+			break
+		}
+		j := i + rand.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+		if !c.cfg.Down(list[i]) {
+			sample = append(sample, list[i])
+		}
+	}
+	return sample
 }
 
 func (c *Client) lastConnected(zone string) *directory.Endpoint {
