--- a/soak.mk
+++ b/soak.mk
@@ -1,5 +1,5 @@
 # Soak tests under faults; included by the root Makefile.
-.PHONY: soak soak-drills
+.PHONY: soak soak-drills soak-provoked
 SEEDS ?= 1-50
 
 soak: ## run real gateways under faults for the seeds A-B, about 20 s each
@@ -7,3 +7,6 @@
 
 soak-drills: ## only restore the store from backups, for the seeds A-B
 	SPRINGWEIR_SOAK_DRILLS=$(SEEDS) go test ./platform/soak -run TestSoakDrills -count=1 -v -timeout 2h
+
+soak-provoked: ## send requests that crash endpoints at the worst moments, for the seeds A-B
+	SPRINGWEIR_SOAK_PROVOKED=$(SEEDS) go test ./platform/soak -run TestSoakProvoked -count=1 -v -timeout 2h
