placement: a suspect of two crashes is tried again as before

Cause: let retries of a suspect of n crashes leave n+1 endpoints. After two crashes nothing was left of a group of five, all callers were refused for 3.4 s (7.48 to 10.84), and as the endpoints were back, their copies ran on several VMs at once. Before, the third crash followed within 0.1 s, and the verdict with it.

Change: retries leave n again, but two at least, which is what the case of two requests in a group of three needs.

--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -84,13 +84,24 @@
 	copiesOn []string
 }
 
+// minRetryReserve is the number of endpoints that stay up for others at least when a suspect is tried
+// again: another request that nothing is known of may crash one of them meanwhile.
+const minRetryReserve = 2
+
 // suspectOf returns the suspect that an attempt is. As many endpoints stay up as it is suspected of
-// having crashed, and one more: another request that nothing is known of may crash that one meanwhile.
-// A stream that has begun is less suspect and would be cut, so it may use that one.
+// having crashed, and one more for the first attempt of a request: it repeats another one, of which
+// more copies may be running. A stream that has begun is less suspect and would be cut, so
+// minRetryReserve does not hold for it.
 func suspectOf(prior relay.AttemptState) suspect {
 	s := suspect{key: prior.Suspicion.Key, reserve: prior.Suspicion.Crashes, copiesOn: prior.Suspicion.CopiesOn}
-	if (s.reserve > 0 || prior.Suspicion.Bystander) && !prior.Streaming {
+	switch {
+	case prior.Streaming:
+	case s.reserve == 0 && prior.Suspicion.Bystander:
+		s.reserve = 1
+	case s.reserve > 0 && len(prior.Tried) == 0:
 		s.reserve++
+	case s.reserve > 0:
+		s.reserve = max(s.reserve, minRetryReserve)
 	}
 	if prior.Suspicion.Others {
 		s.key = 0
