--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -67,6 +67,7 @@
 		{endpoints: 4, down: 1, crashes: 1, want: 1},
 		{endpoints: 3, down: 1, crashes: 1, want: 0},
 		{endpoints: 3, down: 2, crashes: 1, want: 0},
+		{endpoints: 3, down: 2, crashes: 2, want: 0},
 		{endpoints: 3, down: 0, crashes: 2, want: 1},
 		{endpoints: 2, down: 1, crashes: 1, want: 0},
 		{endpoints: 2, down: 0, crashes: 2, want: 1},
