--- a/poison/suspicion.go
+++ b/poison/suspicion.go
@@ -20,7 +20,8 @@
 	defer l.mu.Unlock()
 	present := 0
 	for _, s := range subjectsOf(k, origin) {
-		crashes, present = max(crashes, l.likelyCrashes(s)), max(present, l.score(s))
+		likely, score := l.likelyCrashes(s)
+		crashes, present = max(crashes, likely), max(present, score)
 	}
 	switch {
 	case present == 0, crashes <= 1 && l.recentlySpontaneous():
@@ -72,20 +73,21 @@
 	}
 }
 
-// likelyCrashes returns the part of a subject's score that no other request explains better. The
+// likelyCrashes returns a subject's score and the part of it that no other request explains better. The
 // caller holds mu.
-func (l *Ledger) likelyCrashes(k Subject) int {
-	n := l.score(k)
-	if n == 0 {
-		return 0
+func (l *Ledger) likelyCrashes(k Subject) (likely, score int) {
+	score = l.score(k)
+	if score == 0 {
+		return 0, 0
 	}
+	likely = score
 	presence := l.presence(k)
 	for id := range l.suspects[k].crashes {
 		if c := l.crashes[id]; c != nil && !c.attributed && c.implicates(k) && l.explainedBetter(c, k, presence) {
-			n--
+			likely--
 		}
 	}
-	return n
+	return likely, score
 }
 
 // OthersSuspected reports whether other requests are suspected of a crash at which a request was not
