--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -122,7 +122,7 @@
 type Exchange struct {
 	cfg   Config
 	boot  uint64
-	stall *stallDetector
+	stall stallDetector
 
 	mu           sync.Mutex
 	region       region
@@ -141,7 +141,7 @@
 // New returns an Exchange without peers.
 func New(cfg Config) *Exchange {
 	self := Peer{Name: cfg.VM, Zone: cfg.Zone, Capacity: cfg.Capacity}
-	return &Exchange{cfg: cfg, boot: rand.Uint64(), stall: newStallDetector(), lastReceived: map[string]datagramID{}, region: newRegion(self), outbox: newOutbox(), echoes: newEchoes()}
+	return &Exchange{cfg: cfg, boot: rand.Uint64(), lastReceived: map[string]datagramID{}, region: newRegion(self), outbox: newOutbox(), echoes: newEchoes()}
 }
 
 // SetPeers replaces the peers.
--- a/loadshare/stall.go
+++ b/loadshare/stall.go
@@ -1,7 +1,7 @@
 package loadshare
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,36 +22,37 @@
 )
 
 // stallDetector finds out that the process has been stalled, also before the next round makes up for it.
-// It is safe for concurrent use.
+// It is safe for concurrent use; mu is a leaf lock.
 type stallDetector struct {
-	epoch time.Time
-	// due is when the next round is due, in nanoseconds since epoch; zero before the first.
-	due atomic.Int64
+	mu sync.Mutex
+	// due is when the next round is due; zero before the first.
+	due time.Time
 	// caughtUpAt is when the datagrams that arrived during the last stall have been processed.
-	caughtUpAt atomic.Int64
+	caughtUpAt time.Time
 }
 
-func newStallDetector() *stallDetector { return &stallDetector{epoch: clock.Now()} }
-
 // expect records that the next round is due after an interval. It is called after each round.
 func (d *stallDetector) expect(now time.Time, interval time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.overdue(now) {
 		stalls.Inc()
-		klog.V(1).InfoS("loadshare: the process was stalled", "lateMS", (now.Sub(d.epoch) - time.Duration(d.due.Load())).Milliseconds())
-		d.caughtUpAt.Store(int64(now.Sub(d.epoch) + CatchUpTime))
+		klog.V(1).InfoS("loadshare: the process was stalled", "lateMS", now.Sub(d.due).Milliseconds())
+		d.caughtUpAt = now.Add(CatchUpTime)
 	}
-	d.due.Store(int64(max(1, now.Sub(d.epoch)+interval)))
+	d.due = now.Add(interval)
 }
 
-// overdue reports whether a round is overdue by minStall.
+// overdue reports whether a round is overdue by minStall. The caller holds mu.
 func (d *stallDetector) overdue(now time.Time) bool {
-	due := d.due.Load()
-	return due != 0 && now.Sub(d.epoch)-time.Duration(due) >= minStall
+	return !d.due.IsZero() && now.Sub(d.due) >= minStall
 }
 
 // stalled reports whether the process has been stalled and may not have caught up.
 func (d *stallDetector) stalled(now time.Time) bool {
-	return d.overdue(now) || now.Sub(d.epoch) < time.Duration(d.caughtUpAt.Load())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.overdue(now) || now.Before(d.caughtUpAt)
 }
 
 // Stalled reports whether this VM has just been suspended or without processor time. The datagrams of
