reach: check the way of this VM once in an inquiry

If no VM could say anything, Connect connected to the sampled endpoints again, although the inquiry had just found that this VM reaches some.

--- a/reach/inquiry.go
+++ b/reach/inquiry.go
@@ -85,7 +85,10 @@
 			return endpointDown
 		}
 	}
-	return q.answers.sum()
+	if v := q.answers.sum(); v != noVM || !q.works {
+		return v
+	}
+	return endpointDown
 }
 
 // askAll asks VMs at once whether they reach an endpoint, and calls done after the last answer.
