--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -17,6 +17,17 @@
 // markDown records the crash of an endpoint.
 func (f *fixture) markDown(id string) { f.planner.MarkDown(f.dir.Snapshot().Endpoint(id)) }
 
+// addGroup adds the plain endpoints p0, p1 and so on, of which the first ones crash a minute later.
+func (f *fixture) addGroup(endpoints, down int) {
+	for i := range endpoints {
+		f.addPlain(fmt.Sprint("p", i), "a")
+	}
+	time.Sleep(time.Minute)
+	for i := range down {
+		f.markDown(fmt.Sprint("p", i))
+	}
+}
+
 // retryOf returns the state of a request that ran on a crashed endpoint and is suspected of a number
 // of crashes.
 func retryOf(crashes int, key uint32) relay.AttemptState {
@@ -84,13 +95,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d of %d down, %d crashes, repeat=%t, streaming=%t", tc.down, tc.endpoints, tc.crashes, tc.repeat, tc.streaming), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T, f *fixture) {
-				for i := range tc.endpoints {
-					f.addPlain(fmt.Sprint("p", i), "a")
-				}
-				time.Sleep(time.Minute)
-				for i := range tc.down {
-					f.markDown(fmt.Sprint("p", i))
-				}
+				f.addGroup(tc.endpoints, tc.down)
 				state := retryOf(tc.crashes, 7)
 				if tc.repeat {
 					state = repeatOf(tc.crashes, 7)
@@ -129,13 +134,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d of %d down, streaming=%t", tc.down, tc.endpoints, tc.streaming), func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T, f *fixture) {
-				for i := range tc.endpoints {
-					f.addPlain(fmt.Sprint("p", i), "a")
-				}
-				time.Sleep(time.Minute)
-				for i := range tc.down {
-					f.markDown(fmt.Sprint("p", i))
-				}
+				f.addGroup(tc.endpoints, tc.down)
 				state := relay.AttemptState{Streaming: tc.streaming, Suspicion: relay.Suspicion{Bystander: true, Key: 7}}
 				if ids, _ := f.choices(state); len(ids) != tc.want {
 					t.Errorf("placed on %v, want %d endpoints", ids, tc.want)
--- a/poison/suspicion_test.go
+++ b/poison/suspicion_test.go
@@ -19,6 +19,19 @@
 	return crashes
 }
 
+// ledgerOf returns a ledger of crashes, each with the requests named by its letters (see suspectsNamed).
+// The cleared ones have received a complete response since.
+func ledgerOf(crashes []string, cleared string) *testLedger {
+	l := newTestLedger()
+	for i, names := range crashes {
+		l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
+	}
+	for _, c := range cleared {
+		l.Clear(key(string(c)), Origin(c))
+	}
+	return l
+}
+
 // A request is suspected of the crashes at which it was at work, but not of those that another
 // request explains better, and not of a single one while endpoints crash by themselves.
 func TestSuspicion(t *testing.T) {
@@ -41,13 +54,7 @@
 		{name: "long after such a crash", crashes: []string{"a", "b"}, cleared: "a", wait: spontaneousRetention + time.Second, want: map[string]int{"b": 1}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := newTestLedger()
-			for i, names := range tc.crashes {
-				l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
-			}
-			for _, c := range tc.cleared {
-				l.Clear(key(string(c)), Origin(c))
-			}
+			l := ledgerOf(tc.crashes, tc.cleared)
 			l.advance(tc.wait)
 			for name, want := range tc.want {
 				if got := l.suspicionOf(name); got != want {
@@ -132,10 +139,7 @@
 		{name: "after events, beside one that had none", crashes: []string{"Ab", "b"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := newTestLedger()
-			for i, names := range tc.crashes {
-				l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
-			}
+			l := ledgerOf(tc.crashes, "")
 			if _, got := l.Suspicion(key("a"), 'a'); got != tc.want {
 				t.Errorf("bystander: %t", got)
 			}
@@ -157,13 +161,7 @@
 		{name: "another crash, its suspects cleared", crashes: []string{"ab", "c"}, cleared: "c"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := newTestLedger()
-			for i, names := range tc.crashes {
-				l.RecordCrash(Crash{ID: uint64(i + 1), Suspects: suspectsNamed(names)})
-			}
-			for _, c := range tc.cleared {
-				l.Clear(key(string(c)), Origin(c))
-			}
+			l := ledgerOf(tc.crashes, tc.cleared)
 			if got := l.OthersSuspected(key("a")); got != tc.want {
 				t.Errorf("others suspected: %t", got)
 			}
