Name software versions and taken-up streams in the logs

The logs could not tell the three hypotheses of the incident apart: no line named the software version of an endpoint, nor that a request takes up an earlier stream. platform decodes both; no decision uses them.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,6 +25,9 @@
 	Version table.Version
 	// Service is the service that the endpoint provides.
 	Service string
+	// SoftwareVersion is the version of the software that the endpoint runs, as opposed to that of the
+	// models that it has loaded; empty if not reported. It never changes within an incarnation.
+	SoftwareVersion string
 	// Address is its host:port. After the endpoint has exited, the address may be reused by an
 	// endpoint of another service.
 	Address string
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -137,7 +137,7 @@
 
 func logEndpoint(r directory.Registration) {
 	klog.InfoS("gateway: endpoint registered", "endpoint", r.ID, "born", r.StartedAt, "service", r.Service, "address", r.Address,
-		"zone", r.Zone, "draining", r.Draining, "role", r.Role, "version", r.Version.String())
+		"zone", r.Zone, "draining", r.Draining, "role", r.Role, "software", r.SoftwareVersion, "version", r.Version.String())
 }
 
 // decodeEndpoint decodes a registration. Callers must remove the endpoint of a malformed row: the
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -34,6 +34,9 @@
 	Timeout time.Duration
 	// LastEventID is the last event of a stream that the caller has received.
 	LastEventID int
+	// Origin is the ID of the request that brought that stream's first event, as stated by the caller;
+	// empty if the request takes up no stream.
+	Origin string
 	// Prompt is set for a generation request.
 	Prompt *prompt.Prompt
 	// Credential identifies the caller. Authorization holds the values of the Authorization header,
@@ -79,6 +82,9 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
+	if req.TakesUp() {
+		klog.InfoS("gateway: stream is taken up", "request", req.ID, "origin", req.Origin, "lastEvent", req.LastEventID, "route", req.Route.Name, "service", req.Service)
+	}
 	writer := &responseWriter{w: w, control: http.NewResponseController(w)}
 	result := h.relay.Serve(r.Context(), req, writer)
 	if ranOf(result.Failure) == failure.NotRun {
@@ -118,7 +124,7 @@
 		ID: call.ID, Method: r.Method, Target: target(r), Host: r.Host,
 		Header: call.forwardedHeader(config), Body: body, HasBody: r.ContentLength != 0,
 		Caller: withoutPort(r.RemoteAddr), Received: received, Config: config, Route: route, Service: route.Service(rand.Float64()),
-		Credential: call.Credential, Organisation: caller, Prompt: call.Prompt, LastEventID: call.LastEventID,
+		Credential: call.Credential, Organisation: caller, Prompt: call.Prompt, LastEventID: call.LastEventID, Origin: call.Origin,
 	}
 	if limit := shorterTimeout(call.Timeout, route.Timeout); limit > 0 {
 		req.Deadline = received.Add(limit)
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -80,7 +80,7 @@
 	if w.prefill != nil {
 		prefill, ahead = o.prefill.ID, w.prefill.queuedAhead
 	}
-	klog.InfoS("placement: placed", "request", d.req.ID, "try", d.prior.Number, "endpoint", o.serve.ID, "version", o.serve.Version.String(), "prefill", prefill, "copyFrom", copyFrom,
+	klog.InfoS("placement: placed", "request", d.req.ID, "try", d.prior.Number, "endpoint", o.serve.ID, "version", o.serve.Version.String(), "software", o.serve.SoftwareVersion, "prefill", prefill, "copyFrom", copyFrom,
 		"predictedMS", o.firstEvent.Milliseconds(), "uncached", o.uncached, "aheadTokens", ahead.tokens, "running", w.serve.load.local.running,
 		"peers", len(d.p.loads.peers), "newsMS", d.p.loads.oldestReportAge(d.now).Milliseconds(), "tried", d.prior.Tried)
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -321,7 +321,7 @@
 	if !ok {
 		return relay.Plan{}, noEndpoint("the endpoint is on trial", d.p.tuning.ComeBack)
 	}
-	klog.InfoS("placement: placed", "request", d.req.ID, "try", d.prior.Number, "endpoint", best.ID, "version", best.Version.String(), "zone", best.Zone,
+	klog.InfoS("placement: placed", "request", d.req.ID, "try", d.prior.Number, "endpoint", best.ID, "version", best.Version.String(), "software", best.SoftwareVersion, "zone", best.Zone,
 		"costMS", lowest.Milliseconds(), "running", reserved.load.local.running, "choices", len(d.endpoints), "tried", d.prior.Tried)
 	return relay.Plan{Serve: best, Watch: &attemptWatch{p: d.p, serve: reserved, suspect: d.suspect}}, nil
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -53,8 +53,14 @@
 	// LastEventID is the ID of the last event of the stream that the caller has received; zero
 	// starts from the beginning.
 	LastEventID int
+	// Origin is the ID of the request that brought the stream's first event, if the request takes up a
+	// stream and the caller states it.
+	Origin string
 }
 
+// TakesUp reports whether the request takes up a stream of which the caller has received events.
+func (r *Request) TakesUp() bool { return r.LastEventID > 0 || r.Origin != "" }
+
 // Remaining returns the time until the deadline, at least one millisecond, or zero if there is
 // none.
 func (r *Request) Remaining(now time.Time) time.Duration {
