Streams stay on the software version that began them

Cause: the version of an endpoint's software was not read, so that each way in which a stream goes on (the next attempt of a response, a replacement of a silent engine, a backup, a request that takes the stream up) chose among all endpoints.

Change: the first event that the caller gets binds the stream (relay), and every later attempt is planned, checked again before it is sent, and checked once more before its event is forwarded. KV caches are neither imported, copied nor backed up between versions: engines of each version are planned separately (placement). Package origin knows at each VM which software began a stream: records go out with the load datagrams, to all VMs of a small region, to two collectors of a large one, and only while more than one version may be in use; without a record the others are asked, and the software is inferred if nobody knows of a second version. What stays unknown is refused at once as not run.

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -92,6 +92,11 @@
 	// CrashesEndpoints is a request rejected because endpoints crashed each time it ran. The
 	// rejection is final: every VM rejects the same request.
 	CrashesEndpoints Reason = "crashes-endpoints"
+	// OriginUnknown is a request that takes up a stream of which it is not known which software version
+	// began it.
+	OriginUnknown Reason = "origin-unknown"
+	// SoftwareGone is a request that takes up a stream whose software version no endpoint runs any more.
+	SoftwareGone Reason = "software-gone"
 	// CrashSuspected is a request blocked until it is known whether it crashed endpoints.
 	CrashSuspected Reason = "crash-suspected"
 )
@@ -207,5 +212,7 @@
 	CallerGone:          499,
 	CrashesEndpoints:    http.StatusBadRequest, // a client error, so that clients do not retry
 	CrashSuspected:      http.StatusServiceUnavailable,
+	OriginUnknown:       http.StatusServiceUnavailable,
+	SoftwareGone:        http.StatusServiceUnavailable,
 	RetryBudget:         http.StatusServiceUnavailable,
 }
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -9,6 +9,7 @@
 	"github.com/springweir/springweir/duties/scaling"
 	"github.com/springweir/springweir/duties/usage"
 	"github.com/springweir/springweir/feedshare"
+	"github.com/springweir/springweir/origin"
 	"github.com/springweir/springweir/quota"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/routes"
@@ -60,6 +61,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", feedshare.Handler(g.configs, g.endpoints, g.vms, g.verdicts))
 	mux.Handle(quota.PathPrefix, g.quota.Handler())
+	mux.Handle(origin.PathPrefix, g.origins.Handler())
 	if g.usage != nil {
 		mux.Handle(usage.PathPrefix, usage.Handler(g.usage))
 	}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -23,15 +23,18 @@
 		OnList: func(rows []table.Row, listing table.Listing) {
 			firstListing := !g.state.endpointsListed.Load()
 			g.applyEndpointList(rows, listing)
+			g.origins.SetCurrent(true)
 			if firstListing {
 				g.queryCaches(ctx)
 			}
 		},
 		OnChanges: g.applyEndpointChanges,
 		OnUnavailable: func(err error) {
+			g.origins.SetCurrent(false)
 			klog.InfoS("gateway: endpoints cannot be followed, keeping the known ones", "err", err)
 		},
 		OnRecovered: func(outage time.Duration) {
+			g.origins.SetCurrent(true)
 			klog.InfoS("gateway: endpoints are followed again after an outage", "away", outage)
 		},
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/loadshare"
+	"github.com/springweir/springweir/origin"
 	"github.com/springweir/springweir/placement"
 	"github.com/springweir/springweir/poison"
 	"github.com/springweir/springweir/quota"
@@ -146,11 +147,13 @@
 	exchange  *loadshare.Exchange
 	freshness *freshness.Tracker
 	// usage is nil if no usage is reported.
-	usage  *usage.Ledger
-	roles  *rolechange.Controller
-	duties *duties.Runner
-	guard  *poison.Guard
-	quota  *quota.Limiter
+	usage *usage.Ledger
+	// origins knows which software began each stream.
+	origins *origin.Tracker
+	roles   *rolechange.Controller
+	duties  *duties.Runner
+	guard   *poison.Guard
+	quota   *quota.Limiter
 	// reach sends attempts to endpoints, through other VMs if necessary, and hop passes on those of
 	// other VMs.
 	reach     *reach.Client
@@ -176,6 +179,7 @@
 	if p.ObserveResponses != nil {
 		p.ObserveResponses(g.signals.Observe)
 	}
+	g.origins = g.newOrigins()
 	g.directory = directory.New(g.setEndpoints)
 	g.planner = placement.New(placement.Config{
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
@@ -204,7 +208,7 @@
 		Down: g.isDown, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Stalled: g.exchange.Stalled, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
 	})
 	g.relay = relay.New(relay.Config{
-		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard,
+		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard, Origins: g.origins,
 		Router: g.state, Endpoints: g.directory.Snapshot, ShutdownAt: g.state.shutdownTime, Meter: g.meter(),
 	})
 	return g
@@ -216,7 +220,7 @@
 	s := g.settings
 	c := loadshare.Config{
 		VM: s.VM, Zone: s.Zone, Address: s.Peers, Capacity: s.Strength, LinkBitsPerSecond: s.Placement.LinkBitsPerSecond,
-		LocalReport: g.localReport, OnLoad: g.receiveLoad, OnAnnouncement: g.receiveAnnouncement,
+		LocalReport: g.localReport, OnLoad: g.receiveLoad, OnAnnouncement: g.receiveAnnouncement, OnStreams: g.origins.Receive,
 	}
 	if g.usage != nil {
 		c.Usage = g.usage
@@ -233,6 +237,7 @@
 	g.planner.SetEndpoints(now)
 	g.guard.Retain(now)
 	g.signals.Retain(now)
+	g.origins.SetEndpoints(now)
 	if anyRestarted(now) {
 		g.platform.CloseStaleConnections(now)
 	}
@@ -292,6 +297,7 @@
 	group.Go(func() error { g.awaitPeers(workCtx); g.guard.Run(workCtx); return nil })
 	group.Go(func() error { g.awaitPeers(leadingCtx); g.duties.Run(leadingCtx); return nil })
 	group.Go(func() error { g.updateMembership(workCtx); return nil })
+	group.Go(func() error { g.origins.Run(workCtx); return nil })
 	group.Go(func() error { g.reach.Run(workCtx); return nil })
 	group.Go(func() error { return g.exchange.Run(workCtx) })
 	select {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -82,9 +82,6 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
-	if req.TakesUp() {
-		klog.InfoS("gateway: stream is taken up", "request", req.ID, "origin", req.Origin, "lastEvent", req.LastEventID, "route", req.Route.Name, "service", req.Service)
-	}
 	writer := &responseWriter{w: w, control: http.NewResponseController(w)}
 	result := h.relay.Serve(r.Context(), req, writer)
 	if ranOf(result.Failure) == failure.NotRun {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -26,6 +26,9 @@
 	organisationNames organisationNames
 	// applyWithin is the time within which a new configuration must be in force.
 	applyWithin time.Duration
+	// longestStream is how long a response of a resumable route has been allowed to last by any
+	// configuration, in nanoseconds.
+	longestStream atomic.Int64
 	// configLostAt is when the configuration feed was lost, in Unix nanoseconds; zero while it
 	// responds.
 	configLostAt atomic.Int64
@@ -76,6 +79,7 @@
 		}
 		if s.config.CompareAndSwap(old, c) {
 			s.organisationNames.record(c)
+			s.longestStream.Store(max(s.longestStream.Load(), int64(c.LongestStream())))
 			return true
 		}
 	}
--- a/loadshare/announcements_test.go
+++ b/loadshare/announcements_test.go
@@ -39,6 +39,14 @@
 	}
 }
 
+func (r *announcementRecorder) recordStreams(list []StreamRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range list {
+		r.counts[fmt.Sprint("stream ", s.Stream, " ", s.Software)]++
+	}
+}
+
 func (r *announcementRecorder) count(key string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,7 +64,7 @@
 		}
 		r.x = New(Config{
 			VM: r.peer.Name, Zone: r.peer.Zone, Capacity: r.peer.Capacity, Address: address,
-			LocalReport: func() Report { return Report{} }, OnLoad: func(*sharepb.Load) {}, OnAnnouncement: r.record,
+			LocalReport: func() Report { return Report{} }, OnLoad: func(*sharepb.Load) {}, OnAnnouncement: r.record, OnStreams: r.recordStreams,
 		})
 		list = append(list, r)
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -87,6 +87,9 @@
 	// OnAnnouncement receives what other VMs pass to Broadcast. It may be called several times for
 	// the same announcement.
 	OnAnnouncement func(Announcement)
+	// OnStreams receives the stream records of other VMs; each may arrive several times. Nil ignores
+	// them.
+	OnStreams func([]StreamRecord)
 	// Confirmation returns the newest confirmation of the configuration that this VM has, and
 	// OnConfirmation receives those of other VMs. If they are nil, no confirmations are sent or
 	// received.
@@ -130,6 +133,7 @@
 	sequence     uint64
 	leaving      bool
 	outbox       outbox
+	streams      streamOutbox
 	echoes       echoes
 	// lastRoundDatagrams is the number of datagrams sent in the last round.
 	lastRoundDatagrams int
@@ -237,6 +241,7 @@
 		x.recordRound(clock.Now(), total, toZone)
 		x.sendAnnouncements(conn)
 		x.sendUsage(conn)
+		x.sendStreams(conn)
 	}
 }
 
@@ -254,7 +259,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	list := x.region.messages(clock.Now(), local)
-	busy := slices.ContainsFunc(list, func(m message) bool { return !m.report.empty() })
+	busy := len(x.streams.items) > 0 || slices.ContainsFunc(list, func(m message) bool { return !m.report.empty() })
 	if !throttle.shouldSend(clock.Now(), busy) {
 		return nil
 	}
@@ -267,6 +272,9 @@
 		return 0
 	}
 	loads := x.datagrams(m.report, m.scope)
+	if m.scope == scopeVM {
+		loads = x.withStreams(loads)
+	}
 	x.addConfirmation(loads[0], m.to)
 	for _, load := range loads {
 		x.sendLoad(conn, load, m.to)
@@ -315,6 +323,7 @@
 	x.handleAnnouncements(load)
 	x.handleConfirmation(load)
 	x.handleUsage(load)
+	x.handleStreams(load)
 	if x.accepts(load) {
 		x.cfg.OnLoad(load)
 	}
--- /dev/null
+++ b/loadshare/streams_test.go
@@ -0,0 +1,106 @@
+package loadshare
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/springweir/springweir/loadshare/sharepb"
+)
+
+// streamKeepers returns the names of the VMs that have received a record.
+func streamKeepers(list []*announcementRecorder, record string) map[string]bool {
+	keepers := map[string]bool{}
+	for _, r := range list {
+		if r.count(record) > 0 {
+			keepers[r.peer.Name] = true
+		}
+	}
+	return keepers
+}
+
+// Each stream record reaches two other VMs at least, of two zones in a large region, and one of those that
+// are asked for it.
+func TestStreamRecordsAreKeptTwice(t *testing.T) {
+	for _, size := range []int{4, 24} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			list := startAnnouncementRecorders(t, size)
+			time.Sleep(300 * time.Millisecond) // until the collectors have been seen
+			for i, r := range list {
+				r.x.PublishStreams(StreamRecord{Stream: uint64(i), Software: 7}, StreamRecord{Stream: uint64(1000 + i), Software: 8})
+			}
+			time.Sleep(300 * time.Millisecond)
+			zones := map[string]string{}
+			for _, r := range list {
+				zones[r.peer.Name] = r.peer.Zone
+			}
+			for i, r := range list {
+				for _, record := range []string{fmt.Sprint("stream ", i, " 7"), fmt.Sprint("stream ", 1000+i, " 8")} {
+					keepers := streamKeepers(list, record)
+					keepers[r.peer.Name] = true
+					inZone := map[string]bool{}
+					for name := range keepers {
+						inZone[zones[name]] = true
+					}
+					if len(keepers) < 2 || len(inZone) < 2 {
+						t.Errorf("%s of %s is kept by %v", record, r.peer.Name, keepers)
+					}
+					if size > directPeers && len(keepers) > 3 {
+						t.Errorf("%s of %s is kept by %d VMs", record, r.peer.Name, len(keepers))
+					}
+					checkAskers(t, list, r, record, keepers)
+				}
+			}
+		})
+	}
+}
+
+// checkAskers checks that every VM but the one that began the stream finds its record at one of the VMs
+// that it asks.
+func checkAskers(t *testing.T, list []*announcementRecorder, beginner *announcementRecorder, record string, keepers map[string]bool) {
+	t.Helper()
+	for _, asker := range list {
+		found := keepers[asker.peer.Name]
+		for _, p := range asker.x.StreamKeepers() {
+			found = found || p.Name != beginner.peer.Name && keepers[p.Name]
+		}
+		if !found {
+			t.Errorf("%s does not find %s of %s, kept by %v", asker.peer.Name, record, beginner.peer.Name, keepers)
+		}
+	}
+}
+
+// Records of all open streams, queued at once, are each sent streamSends times in rounds of bounded size,
+// and the oldest are dropped when too many wait.
+func TestStreamRecordsAreSentInBoundedRounds(t *testing.T) {
+	var o streamOutbox
+	const n = maxPendingStreams + 50
+	for i := range uint64(n) {
+		o.add(StreamRecord{Stream: i, Software: uint32(i % 3)})
+	}
+	sends := map[uint64]int{}
+	for rounds := 0; len(o.items) > 0; rounds++ {
+		if rounds > n {
+			t.Fatal("the queue does not become empty")
+		}
+		records := o.round()
+		load := &sharepb.Load{Vm: "front-hal-noord-1", Zone: "hal-noord", Address: "10.100.200.300:12345", Sequence: 1 << 60, NoWork: true, Streams: packStreams(records)}
+		if size := proto.Size(load); size > maxDatagram {
+			t.Fatalf("a round has %d bytes", size)
+		}
+		for _, r := range records {
+			sends[r.Stream]++
+		}
+	}
+	for i := range uint64(n) {
+		want := 0
+		if i >= n-maxPendingStreams {
+			want = streamSends
+		}
+		if sends[i] != want {
+			t.Fatalf("stream %d was sent %d times, want %d", i, sends[i], want)
+		}
+	}
+}
--- /dev/null
+++ b/origin/decide.go
@@ -0,0 +1,62 @@
+package origin
+
+import (
+	"slices"
+	"time"
+)
+
+// Answer is what a VM knows about a stream and the service that may have begun it.
+type Answer struct {
+	// VM is the name of the VM that was asked.
+	VM string
+	// Software is a hash of the software that began the stream, recorded a time Age ago; zero if the VM
+	// has no record of it.
+	Software uint32
+	Age      time.Duration
+	// Versions are the hashes of the service's software versions of which an endpoint was registered within
+	// the window in which a stream can be taken up, without those first seen a moment ago.
+	Versions []uint32
+	// Covered is set if Versions covers the whole window, and Current if the VM receives the changes of the
+	// endpoints.
+	Covered, Current bool
+}
+
+// inference is the outcome of infer.
+type inference string
+
+// The values of inference. All but inferred are reasons why the software cannot be inferred.
+const (
+	inferred      inference = "inferred"
+	notOneVersion inference = "not-one-version"
+	notCovered    inference = "history-too-short"
+	notCurrent    inference = "view-not-current"
+)
+
+// infer returns the software of a stream that nobody has a record of. Records are sent unless the VM that
+// begins a stream knows that there is only one version, so that a stream without a record began on that
+// version: if nobody knows of a second one, somebody knows all versions of the time in which the stream may
+// have begun, and somebody receives the changes of the endpoints. If nobody does, the platform's store has
+// failed for all VMs, provided that all that were asked have answered; otherwise this VM may be cut off.
+func infer(own view, answers []Answer, asked int) (software uint32, outcome inference) {
+	versions, covered, current := slices.Clone(own.settled), own.covered, own.current
+	for _, a := range answers {
+		versions = append(versions, a.Versions...)
+		covered = covered || a.Covered
+		current = current || a.Current
+	}
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	switch {
+	case len(versions) != 1:
+		return 0, notOneVersion
+	case !covered:
+		return 0, notCovered
+	case len(answers) == 0 && asked >= minCutOff, !current && len(answers) < max(1, asked):
+		return 0, notCurrent
+	}
+	return versions[0], inferred
+}
+
+// minCutOff is the number of VMs that must fail to answer, with none that answers, for this VM to be
+// taken to be cut off. A single one may have stopped.
+const minCutOff = 2
--- a/placement/backup.go
+++ b/placement/backup.go
@@ -26,7 +26,7 @@
 // backup chooses an engine that keeps a copy of the state of a run on serve, or returns nil. Only
 // streams that must not be repeated get one, and only on revocable engines: a copy occupies cache
 // memory that other requests then lack, which costs more than the few streams that crashes
-// interrupt. The revocable engines of a zone are usually revoked together and all their runs resume
+// interrupt. The copy serves only the software that made it. The revocable engines of a zone are usually revoked together and all their runs resume
 // at once, so the copies are spread over all other engines.
 func (d *decision) backup(serve *directory.Endpoint, tokens int) *directory.Endpoint {
 	route := d.req.Route
@@ -36,7 +36,7 @@
 	var engines []*directory.Endpoint
 	for _, e := range d.enginesWithRole(engine.Decode) {
 		revokedTogether := e.Revocable && e.Zone == serve.Zone
-		if e.ID != serve.ID && !revokedTogether && !slices.Contains(d.rateLimited, e) {
+		if e.ID != serve.ID && e.Software() == serve.Software() && !revokedTogether && !slices.Contains(d.rateLimited, e) {
 			engines = append(engines, e)
 		}
 	}
--- a/placement/decoder.go
+++ b/placement/decoder.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/springweir/springweir/directory"
-	"github.com/springweir/springweir/engine"
 )
 
 // handoff returns the best engine to import the KV cache that an earlier attempt produced.
@@ -14,7 +13,7 @@
 // decode. Engines in the zone of the source are preferred: the transfer takes half as long and
 // costs less.
 func (d *decision) decoder(from *directory.Endpoint, tokens int) option {
-	engines := d.enginesWithRole(engine.Decode)
+	engines := d.importers(from)
 	best := d.importer(from, inZone(engines, from.Zone), tokens)
 	if best.serve != nil && best.firstEvent < crowdedImport {
 		return best
--- a/placement/direct.go
+++ b/placement/direct.go
@@ -38,10 +38,10 @@
 	return open <= d.p.tuning.DirectTokens && !prefillersUp
 }
 
-// prefillersUp reports whether an engine of the service that prefills is up, whether or not it
-// accepts this request now.
+// prefillersUp reports whether an engine that prefills for the software under consideration is up,
+// whether or not it accepts this request now.
 func (d *decision) prefillersUp() bool {
 	return slices.ContainsFunc(d.p.directory.Snapshot().Service(d.req.Service), func(e *directory.Endpoint) bool {
-		return e.Role == engine.Prefill && d.p.isUp(e, d.changing)
+		return e.Role == engine.Prefill && (d.software == nil || e.Software() == *d.software) && d.p.isUp(e, d.changing)
 	})
 }
--- a/placement/engineplan.go
+++ b/placement/engineplan.go
@@ -37,12 +37,10 @@
 	switch {
 	case d.prior.Resume != nil:
 		best = d.resume()
-	case d.prior.Handle != nil:
+	case d.prior.Handle != nil && d.canImport():
 		best = d.handoff()
-	case d.prior.Colocated:
-		best = d.bestDirect(chunks, tokens)
 	default:
-		best = earlier(d.bestDirect(chunks, tokens), d.bestPair(chunks, tokens))
+		best = d.bestOfSoftware(chunks, tokens)
 	}
 	if best.serve == nil {
 		return relay.Plan{}, d.unavailable("no engine that decodes takes work now")
@@ -53,6 +51,15 @@
 	return d.commit(best, chunks, tokens)
 }
 
+// best returns the best option among the endpoints, which run the same software.
+func (d *decision) best(chunks []chunk, tokens int) option {
+	direct := d.bestDirect(chunks, tokens)
+	if d.prior.Colocated {
+		return direct
+	}
+	return earlier(direct, d.bestPair(chunks, tokens))
+}
+
 func (d *decision) promptTokens() int {
 	if d.req.Prompt == nil {
 		return 0
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -199,7 +199,7 @@
 func (d *decision) plan(excluded []string) (relay.Plan, *failure.Request) {
 	d.endpoints = d.usable(excluded)
 	if len(d.endpoints) == 0 {
-		return relay.Plan{}, d.unavailable("no endpoint of the service takes work now")
+		return relay.Plan{}, d.noneUsable()
 	}
 	if d.service == nil || d.service.Engine == nil {
 		return d.planService()
@@ -208,7 +208,7 @@
 }
 
 // usable returns the endpoints of the service that may be sent a request now. It omits endpoints
-// that are excluded, ejected, changing their role, blocked by their own signals or not expendable
+// of other software than the one that the stream is bound to, and those that are excluded, ejected, changing their role, blocked by their own signals or not expendable
 // for a suspect. Endpoints that refuse other VMs are returned only if there are no others of their
 // group, and those that are down only as a last resort.
 func (d *decision) usable(excluded []string) []*directory.Endpoint {
@@ -219,7 +219,7 @@
 	var refusing, down []*directory.Endpoint
 	for _, e := range registered {
 		switch {
-		case slices.Contains(excluded, e.ID), d.isUnheard(e), !allHealthy && !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
+		case !d.prior.Allows(e), slices.Contains(excluded, e.ID), d.isUnheard(e), !allHealthy && !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
 		case isDown.get(e) != nil:
 			if d.now.Sub(isDown.get(e).downAt) >= downRetryInterval {
 				down = append(down, e)
@@ -273,6 +273,8 @@
 	endpoints []*directory.Endpoint
 	// changing holds the IDs of the engines whose role change this VM has ordered.
 	changing []string
+	// software, if set, is that of all endpoints.
+	software *directory.Software
 	// withRole holds the usable engines that only prefill (true), and the others (false). It and holders
 	// are computed on first use.
 	withRole map[bool][]*directory.Endpoint
--- a/relay/config.go
+++ b/relay/config.go
@@ -19,6 +19,8 @@
 	Meter Meter
 	// Router re-routes requests by the current configuration; nil keeps the original routes.
 	Router Router
+	// Origins knows which software began each stream; nil does not bind streams that callers take up.
+	Origins Origins
 	// Endpoints returns the latest snapshot of the endpoints.
 	Endpoints func() *directory.Snapshot
 	// ShutdownAt returns when this VM's planned shutdown closes requests that are still open. A
@@ -63,6 +65,9 @@
 	if cfg.Meter == nil {
 		cfg.Meter = noMeter{}
 	}
+	if cfg.Origins == nil {
+		cfg.Origins = noOrigins{}
+	}
 	if cfg.Router == nil {
 		cfg.Router = noRouter{}
 	}
--- a/relay/handoff.go
+++ b/relay/handoff.go
@@ -142,7 +142,8 @@
 }
 
 // adoptNext makes the prepared attempt the current one. It returns false if there is none, or if the
-// route or the guard's judgement has changed since; its plan is given back then.
+// route, the guard's judgement or the software that the stream is bound to has changed since; its plan is
+// given back then.
 func (j *job) adoptNext() (Plan, bool) {
 	next := j.next
 	j.next = nil
@@ -163,8 +164,11 @@
 }
 
 // stillValid reports whether neither the route nor the guard's judgement has changed since an attempt
-// was prepared.
+// was prepared, and the stream is not bound to other software.
 func (j *job) stillValid(next *preparedAttempt) bool {
+	if !j.allows(next.plan.Serve) {
+		return false
+	}
 	if !j.result.HeadSent {
 		if routed, failed := j.relay.cfg.Router.Route(next.request); failed != nil || routed != next.request {
 			return false
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -39,6 +39,8 @@
 	// EndpointNotExpendable means that the request is suspected of crashing endpoints, and that the
 	// other callers could not do without this one.
 	EndpointNotExpendable PlanChange = "endpoint-not-expendable"
+	// SoftwareBound means that the stream has been bound to other software than the endpoint's.
+	SoftwareBound PlanChange = "software-bound"
 	// CacheLost means that the engine that holds the KV cache has restarted since the prefill.
 	CacheLost PlanChange = "cache-lost"
 	// StreamResumed means that the silent stream that was to be replaced has gone on.
@@ -133,6 +135,9 @@
 	}
 	endpoints := j.relay.cfg.Endpoints()
 	current := endpoints.Endpoint(e.ID)
+	if !j.allows(e) {
+		return change{cause: SoftwareBound, current: current}
+	}
 	if cause := endpointChange(e, current); cause != "" {
 		return change{cause: cause, current: current}
 	}
@@ -155,7 +160,7 @@
 		return ""
 	case current == nil:
 		return EndpointDeregistered
-	case current.Incarnation() != planned.Incarnation():
+	case current.Incarnation() != planned.Incarnation(), current.Software() != planned.Software():
 		return EndpointRestarted
 	case !current.Usable():
 		return EndpointDraining
--- a/relay/recheck_test.go
+++ b/relay/recheck_test.go
@@ -41,10 +41,10 @@
 	name string
 	do   func(*environment)
 }{
-	{"it is draining", register(directory.Registration{ID: "a", Version: 2, Draining: true})},
+	{"it is draining", register(directory.Registration{ID: "a", Service: "s", Version: 2, Draining: true})},
 	{"it is deregistered", func(env *environment) { env.planner.registry.Remove("a") }},
-	{"it restarts under its ID", register(directory.Registration{ID: "a", Version: 2, StartedAt: 7})},
-	{"its role has changed", register(directory.Registration{ID: "a", Version: 2, Role: engine.Prefill})},
+	{"it restarts under its ID", register(directory.Registration{ID: "a", Service: "s", Version: 2, StartedAt: 7})},
+	{"its role has changed", register(directory.Registration{ID: "a", Service: "s", Version: 2, Role: engine.Prefill})},
 	{"its role is about to change", makeUnusable("a", EndpointChangingRole)},
 	{"it is ejected", makeUnusable("a", EndpointEjected)},
 }
@@ -365,9 +365,9 @@
 		do   func(*environment)
 		want string
 	}{
-		{"it is draining", register(directory.Registration{ID: "p", Version: 2, Draining: true}), "send a import kv1"},
+		{"it is draining", register(directory.Registration{ID: "p", Service: "s", Version: 2, Draining: true}), "send a import kv1"},
 		{"its row is removed", func(env *environment) { env.planner.registry.Remove("p") }, "send a import kv1"},
-		{"it restarts", register(directory.Registration{ID: "p", Version: 2, StartedAt: 7}), "send a"},
+		{"it restarts", register(directory.Registration{ID: "p", Service: "s", Version: 2, StartedAt: 7}), "send a"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sc := scenario{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -82,6 +82,9 @@
 	// whether the attempt that was last sent has run; it is nil if there is none to report.
 	counted     bool
 	pendingSend func(ran bool)
+	// software is what the stream is bound to: that which sent the first event that the caller received.
+	// It is nil before that event.
+	software *directory.Software
 	// backup is the backup engine of the last attempt. resumeHandle names the copy of the run from
 	// which the next attempt resumes, or is nil.
 	backup       *directory.Endpoint
@@ -102,6 +105,10 @@
 // run makes attempts until one succeeds or the request finally fails.
 func (j *job) run(ctx context.Context) {
 	j.relay.cfg.Budget(j.req.Service).First()
+	if failed := j.findOrigin(ctx); failed != nil {
+		j.fail(ctx, failed)
+		return
+	}
 	defer func() {
 		j.discardNext()
 		j.freeHandle()
@@ -156,7 +163,7 @@
 	}
 	state := AttemptState{
 		Number: len(j.tried) + j.replans, Tried: j.tried, Handle: j.handle,
-		Colocated: j.prefilled && j.handle == nil, Suspicion: j.suspicion, Streaming: j.streaming(),
+		Colocated: j.prefilled && j.handle == nil, Suspicion: j.suspicion, Streaming: j.streaming(), Software: j.software,
 	}
 	if j.held != nil {
 		state.Tried = append(slices.Clip(state.Tried), j.held.plan.Serve.ID)
@@ -192,6 +199,7 @@
 			return failed
 		}
 	}
+	j.dropForeignHandle(plan.Serve)
 	a.Import, a.Backup = j.handle, plan.Backup
 	if plan.Prefill == nil {
 		a.CopyFrom = plan.CopyFrom
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -197,6 +197,8 @@
 	open    int
 	// registry holds the endpoints, which are registered when they are first planned.
 	registry *directory.Directory
+	// software holds the software versions of the endpoints.
+	software map[string]string
 	// mu guards open, and unusable, the endpoints that Recheck rejects, with the reason.
 	mu       sync.Mutex
 	unusable map[string]PlanChange
@@ -204,7 +206,7 @@
 
 func (p *fakePlanner) endpoint(id string) *directory.Endpoint {
 	if p.registry.Snapshot().Endpoint(id) == nil {
-		p.registry.Put(directory.Registration{ID: id})
+		p.registry.Put(directory.Registration{ID: id, Service: "s", SoftwareVersion: p.software[id]})
 	}
 	return p.registry.Snapshot().Endpoint(id)
 }
@@ -313,9 +315,14 @@
 	actions []scheduledAction
 	// unusable are the endpoints that the planner's recheck rejects from the start.
 	unusable map[string]PlanChange
-	// guard, router and shutdownAt are passed to Config.
+	// software holds the software versions of the endpoints.
+	software map[string]string
+	// origin is the ID of the request that began the stream which the request takes up.
+	origin string
+	// guard, router, origins and shutdownAt are passed to Config.
 	guard      Guard
 	router     Router
+	origins    Origins
 	shutdownAt func() time.Time
 	// states, if set, receives what each plan was made for.
 	states *[]AttemptState
@@ -368,7 +375,7 @@
 	var out outcome
 	synctest.Test(t, func(t *testing.T) {
 		upstream := &fakeUpstream{sends: s.sends, prefills: s.prefills}
-		planner := &fakePlanner{pending: s.plans, registry: directory.New(nil), unusable: s.unusable}
+		planner := &fakePlanner{pending: s.plans, registry: directory.New(nil), unusable: s.unusable, software: s.software}
 		if planner.unusable == nil {
 			planner.unusable = map[string]PlanChange{}
 		}
@@ -380,9 +387,9 @@
 				}
 				return otherBudget
 			},
-			Guard: s.guard, Router: s.router, Endpoints: planner.registry.Snapshot, ShutdownAt: s.shutdownAt,
+			Guard: s.guard, Router: s.router, Endpoints: planner.registry.Snapshot, ShutdownAt: s.shutdownAt, Origins: s.origins,
 		})
-		req := &Request{ID: "r", Route: &s.route, Service: "s", Received: time.Now(), LastEventID: s.lastEventID}
+		req := &Request{ID: "r", Route: &s.route, Service: "s", Received: time.Now(), LastEventID: s.lastEventID, Origin: s.origin}
 		if s.timeout > 0 {
 			req.Deadline = time.Now().Add(s.timeout)
 		}
--- a/relay/request.go
+++ b/relay/request.go
@@ -195,6 +195,8 @@
 	Streaming bool
 	// Suspicion is the evidence that the request crashes endpoints.
 	Suspicion Suspicion
+	// Software, if set, is the only software that may serve the request, because it began the stream.
+	Software *directory.Software
 	// HeardSince, if set, excludes endpoints that have sent this VM nothing since then. It is set
 	// while another endpoint is silent, which may share its cause with others.
 	HeardSince time.Time
@@ -202,6 +204,11 @@
 	Resume *directory.Endpoint
 }
 
+// Allows reports whether the software of an endpoint may serve the request.
+func (s *AttemptState) Allows(e *directory.Endpoint) bool {
+	return s.Software == nil || *s.Software == e.Software()
+}
+
 // Planner decides where an attempt goes. Its failures have the outcome NotRun.
 type Planner interface {
 	// Plan reserves the plan until its Watch is finished. It may be called from any goroutine.
--- a/relay/reroute.go
+++ b/relay/reroute.go
@@ -46,6 +46,8 @@
 		return failed
 	case routed == j.req:
 		return nil
+	case j.software != nil && routed.Service != j.software.Service:
+		return serviceChanged(j.software.Service)
 	case j.ran != failure.NotRun && !routed.Route.Repeatable():
 		return j.lastFailure
 	}
--- a/relay/response.go
+++ b/relay/response.go
@@ -176,6 +176,9 @@
 			Message: fmt.Sprintf("event %d follows event %d", e.id, j.lastEventID),
 		}
 	}
+	if failed := j.bind(s.plan.Serve); failed != nil {
+		return failed
+	}
 	j.recordEvent(s)
 	if !j.result.HeadSent {
 		if failed := j.sendHead(s.response, -1); failed != nil {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -163,6 +163,24 @@
 	}
 }
 
+// unlimitedStream is assumed to be the duration of a stream of a route without a timeout.
+const unlimitedStream = 10 * time.Minute
+
+// LongestStream returns how long a response of a resumable route may last.
+func (c *Config) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range c.Routes {
+		switch {
+		case r.Kind != Stream || !r.Resumable:
+		case r.Timeout == 0:
+			longest = max(longest, unlimitedStream)
+		default:
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Lookup returns the route of the host with the longest prefix of the path, or nil.
 func (c *Config) Lookup(host, path string) *Route {
 	for _, r := range c.byHost[strings.ToLower(host)] {
