Each software version keeps engines that decode and its share of those that prefill

The roles of engines were balanced over all versions of a service. Since streams and KV caches stay with their version, a version whose engines all prefill cannot go on with its streams, and one without any that prefill reads long prompts one at a time. The last engine of a version that decodes is no longer moved to prefill; a version without one gets one after a second; a version that deviates by 1.5 engines from its share of those that prefill gets one moved.

--- a/rolechange/controller.go
+++ b/rolechange/controller.go
@@ -53,6 +53,8 @@
 	cfg Config
 	// balancers are keyed by service. Only the goroutine that runs Lead uses them.
 	balancers map[string]*Balancer
+	// corrections are keyed by service too, and used by the same goroutine only.
+	corrections map[string]*corrections
 
 	mu sync.Mutex
 	// changing holds the pending changes by engine ID.
@@ -69,7 +71,7 @@
 
 // Lead implements duties.Duty.
 func (c *Controller) Lead(ctx context.Context, l *lease.Lease) {
-	c.balancers = map[string]*Balancer{}
+	c.balancers, c.corrections = map[string]*Balancer{}, map[string]*corrections{}
 	for loop.Sleep(ctx, period) {
 		config := c.cfg.Services()
 		if config == nil {
@@ -85,7 +87,8 @@
 
 // reconcile orders the role changes that bring the engines of a service to the target.
 func (c *Controller) reconcile(ctx context.Context, l *lease.Lease, s *routes.Service) {
-	engines, counts := c.engines(s.Name)
+	engines, bySoftware := c.engines(s.Name)
+	counts := bySoftware.total()
 	if counts.total() == 0 {
 		return
 	}
@@ -99,23 +102,34 @@
 		klog.InfoS("rolechange: roles differ from the target", "service", s.Name, "prefill", counts.Prefill, "decode", counts.Decode,
 			"want", want, "running", pressure.Running, "slots", pressure.Slots, "prefillWaitMS", pressure.PrefillWait.Milliseconds())
 	}
-	var chosen []*directory.Endpoint
+	var chosen []move
 	for range n {
-		e := c.pick(engines, to)
+		e := c.pick(engines, bySoftware, want, to)
 		if e == nil {
 			break
 		}
 		c.addChange(e, to)
-		chosen = append(chosen, e)
+		chosen = append(chosen, move{e, to})
+		engines, bySoftware = c.engines(s.Name)
+	}
+	if m, found := c.correct(s.Name, engines, bySoftware, want); found {
+		c.addChange(m.engine, m.to)
+		chosen = append(chosen, m)
 	}
 	if len(chosen) == 0 || !loop.Sleep(ctx, c.cfg.PropagationDelay()) {
 		return
 	}
-	for _, e := range chosen {
-		c.order(ctx, l, e, to)
+	for _, m := range chosen {
+		c.order(ctx, l, m.engine, m.to)
 	}
 }
 
+// move is an engine and the role to which it is moved.
+type move struct {
+	engine *directory.Endpoint
+	to     engine.Role
+}
+
 func (c *Controller) balancer(service string) *Balancer {
 	b := c.balancers[service]
 	if b == nil {
--- a/rolechange/controller_test.go
+++ b/rolechange/controller_test.go
@@ -24,6 +24,8 @@
 	dir      *directory.Directory
 	roles    map[string]engine.Role
 	accepted map[string]uint64
+	// software holds the software versions of the engines.
+	software map[string]string
 	orders   []receivedOrder
 	// refuse makes the engines refuse all orders, and loseResponse loses the responses to accepted
 	// orders.
@@ -45,7 +47,7 @@
 var errLost = errors.New("no response")
 
 func newFakeEngines(n int, dir *directory.Directory) *fakeEngines {
-	f := &fakeEngines{dir: dir, roles: map[string]engine.Role{}, accepted: map[string]uint64{}, changeTime: time.Second}
+	f := &fakeEngines{dir: dir, roles: map[string]engine.Role{}, accepted: map[string]uint64{}, software: map[string]string{}, changeTime: time.Second}
 	for i := range n {
 		f.add(fmt.Sprint("e", i), fmt.Sprint("z", i%3), engine.Decode)
 	}
@@ -55,8 +57,9 @@
 func (f *fakeEngines) add(id, zone string, role engine.Role) {
 	f.mu.Lock()
 	f.roles[id] = role
+	software := f.software[id]
 	f.mu.Unlock()
-	f.dir.Put(directory.Registration{ID: id, Service: "llm", Zone: zone, Role: role, Slots: 8})
+	f.dir.Put(directory.Registration{ID: id, Service: "llm", SoftwareVersion: software, Zone: zone, Role: role, Slots: 8})
 }
 
 func (f *fakeEngines) State(_ context.Context, e *directory.Endpoint) (State, error) {
--- a/rolechange/pick.go
+++ b/rolechange/pick.go
@@ -1,17 +1,19 @@
 package rolechange
 
 import (
+	"cmp"
+
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
 )
 
 // engines returns the engines of a service except those with an expired row, and their number by
-// role once the pending changes are complete.
-func (c *Controller) engines(service string) ([]*directory.Endpoint, RoleCounts) {
+// software version and role once the pending changes are complete.
+func (c *Controller) engines(service string) ([]*directory.Endpoint, softwareCounts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []*directory.Endpoint
-	var counts RoleCounts
+	counts := softwareCounts{}
 	for _, e := range c.cfg.Directory.Snapshot().Service(service) {
 		if e.Expired {
 			continue
@@ -21,23 +23,26 @@
 		if p, ok := c.changing[e.ID]; ok {
 			role = p.to
 		}
-		if role == engine.Prefill {
-			counts.Prefill++
-		} else {
-			counts.Decode++
-		}
+		counts.add(e.Software(), role)
 	}
 	return list, counts
 }
 
-// pick returns the engine to move to a role: in the availability zone with the most engines of the
-// other role, the one with the fewest requests in flight. It returns nil if no engine can be moved.
-func (c *Controller) pick(engines []*directory.Endpoint, to engine.Role) *directory.Endpoint {
-	movable, byZone := c.movable(engines, to)
+// pick returns the engine to move to a role: of the software version that deviates most from its share
+// of the prefill engines that are wanted, in the availability zone with the most engines of the other
+// role, the one with the fewest requests in flight. It returns nil if no engine can be moved.
+func (c *Controller) pick(engines []*directory.Endpoint, counts softwareCounts, want int, to engine.Role) *directory.Endpoint {
+	movable, byZone := c.movable(engines, counts, to)
+	surplus := func(e *directory.Endpoint) float64 {
+		if to == engine.Prefill {
+			return -counts.deviation(e.Software(), want)
+		}
+		return counts.deviation(e.Software(), want)
+	}
 	var best *directory.Endpoint
 	for _, e := range movable {
-		if best == nil || byZone[e.Zone] > byZone[best.Zone] ||
-			byZone[e.Zone] == byZone[best.Zone] && c.cfg.InFlight(e.ID) < c.cfg.InFlight(best.ID) {
+		if best == nil || cmp.Or(cmp.Compare(surplus(e), surplus(best)), cmp.Compare(byZone[e.Zone], byZone[best.Zone]),
+			cmp.Compare(c.cfg.InFlight(best.ID), c.cfg.InFlight(e.ID))) > 0 {
 			best = e
 		}
 	}
@@ -46,7 +51,7 @@
 
 // movable returns the engines that can be moved to a role, and the number of engines of the other
 // role in each availability zone.
-func (c *Controller) movable(engines []*directory.Endpoint, to engine.Role) ([]*directory.Endpoint, map[string]int) {
+func (c *Controller) movable(engines []*directory.Endpoint, counts softwareCounts, to engine.Role) ([]*directory.Endpoint, map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	byZone := map[string]int{}
@@ -56,7 +61,7 @@
 		if changing && p.to != to || !changing && e.Role != to {
 			byZone[e.Zone]++
 		}
-		if !changing && e.Role != to {
+		if !changing && e.Role != to && counts.mayMove(e.Software(), to) {
 			movable = append(movable, e)
 		}
 	}
--- /dev/null
+++ b/rolechange/software.go
@@ -0,0 +1,163 @@
+package rolechange
+
+import (
+	"math"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/engine"
+)
+
+// Engines of different software versions cannot continue each other's streams or import each other's KV
+// caches. Each version therefore needs engines that decode, or its streams cannot go on, and its share of
+// those that prefill.
+
+const (
+	// strandedPatience is how long a software version must have no engine that decodes before one is
+	// ordered to: engines are often replaced by others of the same role, one after the other.
+	strandedPatience = time.Second
+	// minSkew is the least deviation of a version from its share of the prefill engines, in engines, at
+	// which one of its engines is moved. Each order takes an engine out of service for seconds.
+	minSkew = 1.5
+)
+
+// softwareCounts holds the number of engines by role for each software version, once the pending changes
+// are complete.
+type softwareCounts map[directory.Software]RoleCounts
+
+// total returns the number of engines by role over all versions.
+func (s softwareCounts) total() RoleCounts {
+	var all RoleCounts
+	for _, counts := range s {
+		all.Prefill += counts.Prefill
+		all.Decode += counts.Decode
+	}
+	return all
+}
+
+// add counts an engine of a role.
+func (s softwareCounts) add(software directory.Software, role engine.Role) {
+	counts := s[software]
+	if role == engine.Prefill {
+		counts.Prefill++
+	} else {
+		counts.Decode++
+	}
+	s[software] = counts
+}
+
+// mayMove reports whether an engine of a software version may move to a role. The last one that decodes
+// stays: the version's streams go on nowhere else.
+func (s softwareCounts) mayMove(software directory.Software, to engine.Role) bool {
+	return to != engine.Prefill || s[software].Decode > 1
+}
+
+// deviation returns by how many prefill engines a version exceeds its share of want, the number for all
+// versions together.
+func (s softwareCounts) deviation(software directory.Software, want int) float64 {
+	counts, n := s[software], s.total().total()
+	return float64(counts.Prefill) - float64(want)*float64(counts.total())/float64(max(1, n))
+}
+
+// stranded returns a software version without engines that decode, if there is one.
+func (s softwareCounts) stranded() (directory.Software, bool) {
+	for software, counts := range s {
+		if counts.Decode == 0 && counts.Prefill > 0 {
+			return software, true
+		}
+	}
+	return directory.Software{}, false
+}
+
+// skewed returns the software version that deviates most from its share of the prefill engines, and the
+// role to which one of its engines has to move, if that is worth an order.
+func (s softwareCounts) skewed(want int) (software directory.Software, to engine.Role, found bool) {
+	largest := minSkew
+	for candidate := range s {
+		deviation := s.deviation(candidate, want)
+		role := engine.Decode
+		if deviation < 0 {
+			role = engine.Prefill
+		}
+		if math.Abs(deviation) >= largest && s.mayMove(candidate, role) {
+			software, to, found, largest = candidate, role, true, math.Abs(deviation)
+		}
+	}
+	return software, to, found
+}
+
+// corrections is the state of the moves that are due to the software versions of a service.
+type corrections struct {
+	// strandedSince is since when a version has had no engine that decodes; zero if each has one.
+	strandedSince time.Time
+	// skewedAt is when an engine was last moved because of its version's share.
+	skewedAt time.Time
+}
+
+// correct returns the move of an engine whose software version has had no engine that decodes for a while or,
+// if no other change is pending, has too many or too few that prefill.
+func (c *Controller) correct(service string, engines []*directory.Endpoint, counts softwareCounts, want int) (move, bool) {
+	state, now := c.corrections[service], c.cfg.Now()
+	if state == nil {
+		state = &corrections{}
+		c.corrections[service] = state
+	}
+	software, found := counts.stranded()
+	if !found {
+		state.strandedSince = time.Time{}
+		return c.correctSkew(state, engines, counts, want)
+	}
+	if state.strandedSince.IsZero() {
+		state.strandedSince = now
+	}
+	if now.Sub(state.strandedSince) < strandedPatience {
+		return move{}, false
+	}
+	return c.moveOf(software, engines, counts, want, engine.Decode)
+}
+
+// correctSkew returns the move of an engine whose software version has too many or too few that prefill.
+func (c *Controller) correctSkew(state *corrections, engines []*directory.Endpoint, counts softwareCounts, want int) (move, bool) {
+	now := c.cfg.Now()
+	if len(counts) < 2 || c.anyChanging() || now.Sub(state.skewedAt) < c.cfg.Balance.Pause {
+		return move{}, false
+	}
+	software, to, found := counts.skewed(want)
+	if !found {
+		return move{}, false
+	}
+	state.skewedAt = now
+	return c.moveOf(software, engines, counts, want, to)
+}
+
+// moveOf returns the move of an engine of a software version to a role.
+func (c *Controller) moveOf(software directory.Software, engines []*directory.Endpoint, counts softwareCounts, want int, to engine.Role) (move, bool) {
+	e := c.pick(ofSoftware(engines, software), counts, want, to)
+	if e == nil {
+		return move{}, false
+	}
+	klog.InfoS("rolechange: engine moves because of its software version", "service", software.Service, "endpoint", e.ID, "software", software.Version,
+		"to", to, "prefill", counts[software].Prefill, "decode", counts[software].Decode)
+	return move{e, to}, true
+}
+
+// ofSoftware returns the engines of a software version.
+func ofSoftware(engines []*directory.Endpoint, software directory.Software) []*directory.Endpoint {
+	var list []*directory.Endpoint
+	for _, e := range engines {
+		if e.Software() == software {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// anyChanging reports whether a change is pending.
+func (c *Controller) anyChanging() bool {
+	c.resolve()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.changing) > 0
+}
