--- a/soak.mk
+++ b/soak.mk
@@ -1,5 +1,5 @@
 # Soak tests under faults; included by the root Makefile.
-.PHONY: soak soak-drills soak-provoked
+.PHONY: soak soak-drills soak-provoked soak-versions
 SEEDS ?= 1-50
 
 soak: ## run real gateways under faults for the seeds A-B, about 20 s each
@@ -10,3 +10,6 @@
 
 soak-provoked: ## send requests that crash endpoints at the worst moments, for the seeds A-B
 	SPRINGWEIR_SOAK_PROVOKED=$(SEEDS) go test ./platform/soak -run TestSoakProvoked -count=1 -v -timeout 2h
+
+soak-versions: ## play software versions side by side for the seeds A-B; OLDER: the gateway of an older build
+	SPRINGWEIR_SOAK_VERSIONS=$(SEEDS) SPRINGWEIR_SOAK_OLDER=$(OLDER) go test ./platform/soak -run TestSoakVersions -count=1 -v -timeout 3h
