origin: a VM that hears none of several others is taken to be cut off; a model of VMs, versions and cuts

A VM that is isolated presumes the others dead after 0.8 s and loses its feed only after some seconds: in between it would have inferred the version from its own view alone. It now counts all registered VMs, not only those presumed alive.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -16,7 +16,7 @@
 	return origin.New(origin.Config{
 		Window:  func() time.Duration { return time.Duration(g.state.longestStream.Load()) + takeUpMargin },
 		Publish: func(records ...loadshare.StreamRecord) { g.exchange.PublishStreams(records...) },
-		Peers:   func() []loadshare.Peer { return g.exchange.StreamKeepers() },
+		Peers:   func() ([]loadshare.Peer, int) { return g.exchange.StreamKeepers() },
 		Asker:   origin.NewClient(g.network),
 	})
 }
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -74,9 +74,9 @@
 	x.streams.add(records...)
 }
 
-// StreamKeepers returns the other VMs that may hold a stream record: those of a small region that are
-// presumed alive, and the collectors of a large one.
-func (x *Exchange) StreamKeepers() []Peer {
+// StreamKeepers returns the other VMs that may hold a stream record and are presumed alive: those of a small
+// region, and the collectors of a large one. The number of others includes those that are not.
+func (x *Exchange) StreamKeepers() (alive []Peer, others int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := clock.Now()
@@ -84,9 +84,9 @@
 	if x.region.usesCollectors() {
 		list = append(x.region.otherCollectors(now), x.region.collector(x.region.self.Zone, now))
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(p Peer) bool {
-		return p.Name == x.cfg.VM || !x.region.presumedAlive(p.Name, now)
-	})
+	list = slices.DeleteFunc(slices.Clone(list), func(p Peer) bool { return p.Name == x.cfg.VM })
+	others = len(list)
+	return slices.DeleteFunc(list, func(p Peer) bool { return !x.region.presumedAlive(p.Name, now) }), others
 }
 
 // withStreams adds the stream records of this round to the datagrams of this VM's own load, which go to
--- a/origin/decide.go
+++ b/origin/decide.go
@@ -36,8 +36,9 @@
 // begins a stream knows that there is only one version, so that a stream without a record began on that
 // version: if nobody knows of a second one, somebody knows all versions of the time in which the stream may
 // have begun, and somebody receives the changes of the endpoints. If nobody does, the platform's store has
-// failed for all VMs, provided that all that were asked have answered; otherwise this VM may be cut off.
-func infer(own view, answers []Answer, asked int) (software uint32, outcome inference) {
+// failed for all VMs, provided that all that were asked have answered; otherwise this VM may be cut off. So
+// may be one that none of several other VMs answers.
+func infer(own view, answers []Answer, asked, others int) (software uint32, outcome inference) {
 	versions, covered, current := slices.Clone(own.settled), own.covered, own.current
 	for _, a := range answers {
 		versions = append(versions, a.Versions...)
@@ -51,12 +52,12 @@
 		return 0, notOneVersion
 	case !covered:
 		return 0, notCovered
-	case len(answers) == 0 && asked >= minCutOff, !current && len(answers) < max(1, asked):
+	case len(answers) == 0 && others >= minCutOff, !current && len(answers) < max(1, asked):
 		return 0, notCurrent
 	}
 	return versions[0], inferred
 }
 
-// minCutOff is the number of VMs that must fail to answer, with none that answers, for this VM to be
-// taken to be cut off. A single one may have stopped.
+// minCutOff is the number of other VMs of which none answers for this VM to be taken to be cut off. A single
+// one may have stopped.
 const minCutOff = 2
--- a/origin/ledger.go
+++ b/origin/ledger.go
@@ -8,8 +8,8 @@
 	"github.com/springweir/springweir/loadshare"
 )
 
-// maxRecords bounds the records of one generation, about 10 MB. Of more, only the newest are kept.
-const maxRecords = 200_000
+// maxRecords bounds the records of one generation, about 11 MB. Of more, only the newest are kept.
+const maxRecords = 300_000
 
 var recordsDropped = metrics.NewCounter("springweir_stream_records_dropped_total")
 
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -33,8 +33,9 @@
 	Window func() time.Duration
 	// Publish sends records to the VMs that keep them.
 	Publish func(...loadshare.StreamRecord)
-	// Peers returns the other VMs that may hold a record.
-	Peers func() []loadshare.Peer
+	// Peers returns the other VMs that may hold a record and are presumed alive, and the number of others
+	// including those that are not.
+	Peers func() (alive []loadshare.Peer, others int)
 	// Asker asks them.
 	Asker Asker
 	// Now returns the current time; nil selects the system clock.
@@ -191,14 +192,14 @@
 	if found && r.Origin != "" {
 		return hash, source{name: "record", age: age}
 	}
-	peers := t.cfg.Peers()
+	peers, others := t.cfg.Peers()
 	answers, decided := t.ask(ctx, peers, stream, r, own)
 	from := source{asked: len(peers), answered: len(answers)}
 	if decided != nil {
 		from.name, from.age = decided.VM, decided.Age
 		return decided.Software, from
 	}
-	hash, outcome := infer(own, answers, len(peers))
+	hash, outcome := infer(own, answers, len(peers), others)
 	if outcome == inferred && len(r.Route.Targets) > 1 {
 		hash, outcome = 0, notOneVersion
 	}
