A VM that wakes waits until it has read what arrived, not for 10 ms

Cause: the time that the datagrams of a stall take to be processed was assumed to be 10 ms. Beside load it is longer. The VM now sends itself a marker: its socket delivers in order, so that what had arrived is processed once the marker is, at most 200 ms later.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,7 +205,7 @@
 	g.newReach()
 	g.quota = quota.New(quota.Config{VM: s.VM, Limit: g.state.limitOf, Peers: quota.NewClient(n)})
 	g.guard = poison.NewGuard(poison.Config{
-		Down: g.isDown, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, Stalled: g.exchange.Stalled, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
+		Down: g.isDown, OnDown: g.planner.MarkDown, Broadcast: g.exchange.Broadcast, PropagationDelay: g.exchange.PropagationDelay, AwaitCatchUp: g.exchange.AwaitCatchUp, Directory: g.directory, Rows: p.Rows, Feed: g.verdicts,
 	})
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard, Origins: g.origins,
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -126,6 +127,8 @@
 	cfg   Config
 	boot  uint64
 	stall stallDetector
+	// conn is the socket while the Exchange runs.
+	conn atomic.Pointer[net.UDPConn]
 
 	mu           sync.Mutex
 	region       region
@@ -220,6 +223,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	x.conn.Store(conn)
 	go x.receive(conn)
 	x.send(ctx, conn)
 	return nil
@@ -317,6 +321,10 @@
 
 // handle processes a received datagram.
 func (x *Exchange) handle(load *sharepb.Load) {
+	if load.Vm == x.cfg.VM {
+		x.handleMarker(load)
+		return
+	}
 	if !x.acceptSequence(load) {
 		return
 	}
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -28,9 +28,9 @@
 	// to reach them.
 	Broadcast        func(loadshare.Announcement)
 	PropagationDelay func() time.Duration
-	// Stalled reports whether announcements of other VMs may have arrived that are not processed yet, since
-	// this VM was suspended. Nil means that none have.
-	Stalled func() bool
+	// AwaitCatchUp waits until announcements of other VMs that have arrived while this VM was suspended are
+	// processed. Nil means that there are none.
+	AwaitCatchUp func()
 	// Directory holds the registered endpoints.
 	Directory *directory.Directory
 	// Rows and Feed access the platform's store.
@@ -59,8 +59,8 @@
 
 // NewGuard returns a guard without any suspects or quarantine entries.
 func NewGuard(cfg Config) *Guard {
-	if cfg.Stalled == nil {
-		cfg.Stalled = func() bool { return false }
+	if cfg.AwaitCatchUp == nil {
+		cfg.AwaitCatchUp = func() {}
 	}
 	g := &Guard{cfg: cfg, now: clock.OrSystem(cfg.Now), copies: newCopyTracker()}
 	g.ledger = NewLedger(cfg.Now, func() time.Duration { return cfg.PropagationDelay() + propagationMargin })
@@ -78,9 +78,7 @@
 // Check implements relay.Guard. It hashes the request only if the ledger holds a suspect or a
 // quarantine entry.
 func (g *Guard) Check(r *relay.Request) (relay.Suspicion, *failure.Request) {
-	if g.cfg.Stalled() {
-		time.Sleep(loadshare.CatchUpTime)
-	}
+	g.cfg.AwaitCatchUp()
 	if g.ledger.Empty() {
 		return relay.Suspicion{}, nil
 	}
--- a/poison/suspicion_test.go
+++ b/poison/suspicion_test.go
@@ -113,9 +113,15 @@
 				r := newTestRegion(t, 1)
 				defer r.stopAll()
 				g, q := r.vms["vm0"], request("c", "id", "poison")
-				g.cfg.Stalled = func() bool { return stalled }
+				received := make(chan struct{})
+				if stalled {
+					g.cfg.AwaitCatchUp = func() { <-received }
+				}
 				key := KeyOf(q)
-				go g.Receive(loadshare.Announcement{Crashes: []*sharepb.Crash{{Id: 1, Suspects: []*sharepb.Suspect{{Key: key[:], Origin: uint32(OriginOf(q))}}}}})
+				go func() {
+					defer close(received)
+					g.Receive(loadshare.Announcement{Crashes: []*sharepb.Crash{{Id: 1, Suspects: []*sharepb.Suspect{{Key: key[:], Origin: uint32(OriginOf(q))}}}}})
+				}()
 				if suspicion, _ := g.Check(q); (suspicion.Crashes == 1) != stalled {
 					t.Errorf("suspected of %d crashes", suspicion.Crashes)
 				}
