origin: infer alone without the store, and only the version that serves the stream

A single VM without the store refused all take-ups, though nobody else can have begun a stream. A stream is left unrecorded only if the one version that is known is its own.

--- a/origin/decide.go
+++ b/origin/decide.go
@@ -47,12 +47,14 @@
 	}
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
+	maybeCutOff := len(answers) == 0 && others >= minCutOff
+	allAnswered := len(answers) == asked && (asked > 0 || others == 0)
 	switch {
 	case len(versions) != 1:
 		return 0, notOneVersion
 	case !covered:
 		return 0, notCovered
-	case len(answers) == 0 && others >= minCutOff, !current && len(answers) < max(1, asked):
+	case maybeCutOff, !current && !allAnswered:
 		return 0, notCurrent
 	}
 	return versions[0], inferred
--- a/origin/history.go
+++ b/origin/history.go
@@ -81,8 +81,10 @@
 	current bool
 }
 
-// isOnlyVersion reports whether the service is known to have had a single version.
-func (v view) isOnlyVersion() bool { return v.covered && v.current && len(v.versions) == 1 }
+// hasOneVersion reports whether the service is known to have had a single version, and isOnly whether that is
+// the one with a hash.
+func (v view) hasOneVersion() bool         { return v.covered && v.current && len(v.versions) == 1 }
+func (v view) isOnly(software uint32) bool { return v.hasOneVersion() && v.versions[0] == software }
 
 // needRecords returns the software whose streams need records, because it is not known to be the only
 // version of its service.
@@ -90,7 +92,7 @@
 	needed := map[uint32]bool{}
 	for service := range h.services {
 		v := h.view(now, service, window)
-		if v.isOnlyVersion() {
+		if v.hasOneVersion() {
 			continue
 		}
 		for _, hash := range v.versions {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -102,7 +102,7 @@
 	}
 	now, window, record := t.cfg.Now(), t.cfg.Window(), loadshare.StreamRecord{Stream: streamHash(id), Software: softwareHash(s)}
 	t.mu.Lock()
-	publish := len(r.Route.Targets) > 1 || !t.history.view(now, s.Service, window).isOnlyVersion()
+	publish := len(r.Route.Targets) > 1 || !t.history.view(now, s.Service, window).isOnly(record.Software)
 	if publish {
 		t.ledger.put(now, record.Stream, record.Software)
 	} else {
@@ -225,7 +225,7 @@
 			return answers, a
 		}
 		answers = append(answers, *a)
-		if own.isOnlyVersion() && 2*len(answers) > len(peers) {
+		if own.hasOneVersion() && 2*len(answers) > len(peers) {
 			break
 		}
 	}
