h1: one type for the pools of connections by address

hop.Client and platform.EndpointClient each kept a map of pools with the same look-up and pruning. No change of behaviour; tests of hop, h1, reach and the platform's tests of connections, cuts and hops pass.

--- a/hop/client.go
+++ b/hop/client.go
@@ -7,12 +7,10 @@
 	"errors"
 	"net/http"
 	"slices"
-	"sync"
 
 	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
-	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/h1"
 )
 
@@ -25,44 +23,19 @@
 
 // Client hands requests to other VMs. It never retries. It is safe for concurrent use.
 type Client struct {
-	self string
-	opts h1.Options
-
-	// mu guards pools, by address. No other lock is acquired while it is held.
-	mu    sync.Mutex
-	pools map[string]*h1.Pool
+	self  string
+	pools *h1.Pools
 }
 
 // NewClient returns a client of the VM named self. The options apply to the connections to other VMs.
 func NewClient(self string, o h1.Options) *Client {
-	return &Client{self: self, opts: o, pools: map[string]*h1.Pool{}}
+	return &Client{self: self, pools: h1.NewPools(o)}
 }
 
 // Retain closes the idle connections to addresses that are not in the list, and those idle for too
 // long.
 func (c *Client) Retain(addresses []string) {
-	now := clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, p := range c.pools {
-		if slices.Contains(addresses, address) {
-			p.Prune(now)
-			continue
-		}
-		p.Close()
-		delete(c.pools, address)
-	}
-}
-
-func (c *Client) pool(address string) *h1.Pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pools[address]
-	if p == nil {
-		p = h1.NewPool(address, c.opts)
-		c.pools[address] = p
-	}
-	return p
+	c.pools.Retain(func(address string) bool { return slices.Contains(addresses, address) })
 }
 
 // Do sends out to vm, which passes it to e, and returns the endpoint's response. Both the fields of
@@ -115,7 +88,7 @@
 		r.Header = c.header(ctx, r.Header, e, attempt, extra)
 		return nil
 	}
-	response, err := c.pool(vm.Address).Do(ctx, &sent)
+	response, err := c.pools.Get(vm.Address).Do(ctx, &sent)
 	if err != nil {
 		if withdrawn {
 			return nil, err
