--- a/placement/replay_scenarios_test.go
+++ b/placement/replay_scenarios_test.go
@@ -228,3 +228,34 @@
 		}
 	})
 }
+
+// Two software versions serve side by side, which cannot use each other's KV caches: nearly as many prompts are
+// in time as with one version, also while most of one version's engines are gone.
+func TestReplaySoftwareVersionsSideBySide(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// prefill and decode are the numbers of engines of the second version, of 8 and 4.
+		prefill, decode int
+	}{{"one version", 0, 0}, {"half of each role", 4, 2}, {"a quarter", 2, 1}, {"only engines that decode", 0, 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				r := newReplay(t, seed, 4, 8, 4, engineSpeed{5, 1000 / 307.0, 15.4}, engineSpeed{5, 1000 / 153.5, 15.4})
+				for i := range tc.prefill {
+					r.engines[fmt.Sprint("p", i)].software = "v2"
+				}
+				for i := range tc.decode {
+					r.engines[fmt.Sprint("d", i)].software = "v2"
+				}
+				r.startVMs()
+				start := r.now
+				r.load(300, 8*time.Second, r.longPrompt)
+				r.run(9 * time.Second)
+				share := inTimeShare(r.between(start.Add(2*time.Second), start.Add(8*time.Second)))
+				t.Logf("seed %d: %.3f in time, %d tokens prefilled", seed, share, r.prefilledTokens)
+				if share < 0.9 {
+					t.Errorf("seed %d: %.3f of the prompts are in time", seed, share)
+				}
+			}
+		})
+	}
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -56,6 +56,8 @@
 	cachedSince map[string]time.Time
 	// refuses is set while the engine refuses all requests.
 	refuses bool
+	// software is the version of its software.
+	software string
 }
 
 // outcome is the result of one request.
@@ -110,7 +112,7 @@
 		})
 		var list []directory.Registration
 		for _, id := range r.engineIDs() {
-			list = append(list, directory.Registration{ID: id, Service: "llm", Zone: "a", Slots: 64, Role: r.engines[id].role})
+			list = append(list, directory.Registration{ID: id, Service: "llm", SoftwareVersion: r.engines[id].software, Zone: "a", Slots: 64, Role: r.engines[id].role})
 		}
 		vm.dir.Replace(list, false)
 		r.vms[i] = vm
