--- a/placement/backup.go
+++ b/placement/backup.go
@@ -26,8 +26,9 @@
 // backup chooses an engine that keeps a copy of the state of a run on serve, or returns nil. Only
 // streams that must not be repeated get one, and only on revocable engines: a copy occupies cache
 // memory that other requests then lack, which costs more than the few streams that crashes
-// interrupt. The copy serves only the software that made it. The revocable engines of a zone are usually revoked together and all their runs resume
-// at once, so the copies are spread over all other engines.
+// interrupt. The copy serves only the software that made it. The revocable engines of a zone are
+// usually revoked together and all their runs resume at once, so the copies are spread over all other
+// engines.
 func (d *decision) backup(serve *directory.Endpoint, tokens int) *directory.Endpoint {
 	route := d.req.Route
 	if !d.service.Engine.Backups || !serve.Revocable || route.Kind != routes.Stream || route.Repeatable() {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -207,10 +207,10 @@
 	return d.planEngine()
 }
 
-// usable returns the endpoints of the service that may be sent a request now. It omits endpoints
-// of other software than the one that the stream is bound to, and those that are excluded, ejected, changing their role, blocked by their own signals or not expendable
-// for a suspect. Endpoints that refuse other VMs are returned only if there are no others of their
-// group, and those that are down only as a last resort.
+// usable returns the endpoints of the service that may be sent a request now. It omits endpoints that
+// run other software than the stream is bound to, and those that are excluded, ejected, changing their
+// role, blocked by their own signals or not expendable for a suspect. Endpoints that refuse other VMs
+// are returned only if there are no others of their group, and those that are down only as a last resort.
 func (d *decision) usable(excluded []string) []*directory.Endpoint {
 	p := d.p
 	isDown, refusingPeers, allHealthy := p.loads.downNow(d.now), p.loads.refusingPeers(), p.health.AllHealthy()
