rolechange: a software version that shrinks keeps two engines that decode

Cause: the last engine of a version that decodes was replaced while two others of it prefilled. One was ordered to decode only after a second without any, and takes its time to change.

Of three engines or more of a version two decode now, and a version that has lost its last one gets another at once. With one version nothing changes.

--- a/rolechange/software.go
+++ b/rolechange/software.go
@@ -15,9 +15,9 @@
 // those that prefill.
 
 const (
-	// strandedPatience is how long a software version must have no engine that decodes before one is
+	// shortPatience is how long a software version must have too few engines that decode before one more is
 	// ordered to: engines are often replaced by others of the same role, one after the other.
-	strandedPatience = time.Second
+	shortPatience = time.Second
 	// minSkew is the least deviation of a version from its share of the prefill engines, in engines, at
 	// which one of its engines is moved. Each order takes an engine out of service for seconds.
 	minSkew = 1.5
@@ -48,10 +48,25 @@
 	s[software] = counts
 }
 
-// mayMove reports whether an engine of a software version may move to a role. The last one that decodes
-// stays: the version's streams go on nowhere else.
+// minDecodeOfVersion returns the least number of engines of a version that decode: two of three or more, so that
+// streams go on when one of them leaves. While another takes its role, nothing decodes for the version.
+func minDecodeOfVersion(total int) int {
+	if total < 3 {
+		return 1
+	}
+	return 2
+}
+
+// missing returns how many engines that decode a version lacks.
+func (s softwareCounts) missing(software directory.Software) int {
+	counts := s[software]
+	return max(0, minDecodeOfVersion(counts.total())-counts.Decode)
+}
+
+// mayMove reports whether an engine of a software version may move to a role. Those that decode stay if the
+// version has no more than it needs. A single version has the limits of a Balancer.
 func (s softwareCounts) mayMove(software directory.Software, to engine.Role) bool {
-	return to != engine.Prefill || s[software].Decode > 1
+	return to != engine.Prefill || len(s) == 1 || s[software].Decode > minDecodeOfVersion(s[software].total())
 }
 
 // deviation returns by how many prefill engines a version exceeds its share of want, the number for all
@@ -79,14 +94,14 @@
 	s[software] = RoleCounts{Prefill: counts.Prefill - 1, Decode: counts.Decode + 1}
 }
 
-// stranded returns a software version without engines that decode, if there is one.
-func (s softwareCounts) stranded() (directory.Software, bool) {
-	for software, counts := range s {
-		if counts.Decode == 0 && counts.Prefill > 0 {
-			return software, true
+// short returns the software version that lacks most engines that decode, if one does.
+func (s softwareCounts) short() (software directory.Software, found bool) {
+	for candidate, counts := range s {
+		if counts.Prefill > 0 && s.missing(candidate) > 0 && (!found || s.missing(candidate) > s.missing(software) || counts.Decode < s[software].Decode) {
+			software, found = candidate, true
 		}
 	}
-	return directory.Software{}, false
+	return software, found
 }
 
 // skewed returns the software version that deviates most from its share of the prefill engines, and the
@@ -108,29 +123,51 @@
 
 // corrections is the state of the moves that are due to the software versions of a service.
 type corrections struct {
-	// strandedSince is since when a version has had no engine that decodes; zero if each has one.
-	strandedSince time.Time
+	// shortSince is since when a version has had too few engines that decode; zero if none has.
+	shortSince time.Time
+	// decoded holds the versions that have had an engine that decodes, and so may have streams.
+	decoded map[directory.Software]bool
 	// skewedAt is when an engine was last moved because of its version's share.
 	skewedAt time.Time
 }
 
-// correct returns the move of an engine whose software version has had no engine that decodes for a while or,
-// if no other change is pending, has too many or too few that prefill.
+// record records which versions have engines that decode.
+func (c *corrections) record(counts softwareCounts) {
+	for software, n := range counts {
+		if n.Decode > 0 {
+			c.decoded[software] = true
+		}
+	}
+	for software := range c.decoded {
+		if _, present := counts[software]; !present {
+			delete(c.decoded, software)
+		}
+	}
+}
+
+// correct returns the move of an engine whose software version has too few engines that decode or, if no other
+// change is pending, too many or too few that prefill. A version that has lost its last engine that decodes gets
+// one at once, since its streams wait for it.
 func (c *Controller) correct(service string, engines []*directory.Endpoint, counts softwareCounts, want int) (move, bool) {
 	state, now := c.corrections[service], c.cfg.Now()
 	if state == nil {
-		state = &corrections{}
+		state = &corrections{decoded: map[directory.Software]bool{}}
 		c.corrections[service] = state
 	}
-	software, found := counts.stranded()
+	state.record(counts)
+	if len(counts) < 2 {
+		return move{}, false
+	}
+	software, found := counts.short()
 	if !found {
-		state.strandedSince = time.Time{}
+		state.shortSince = time.Time{}
 		return c.correctSkew(state, engines, counts, want)
 	}
-	if state.strandedSince.IsZero() {
-		state.strandedSince = now
+	if state.shortSince.IsZero() {
+		state.shortSince = now
 	}
-	if now.Sub(state.strandedSince) < strandedPatience {
+	streamsWait := counts[software].Decode == 0 && state.decoded[software]
+	if !streamsWait && now.Sub(state.shortSince) < shortPatience {
 		return move{}, false
 	}
 	return c.moveOf(software, engines, counts, want, engine.Decode)
@@ -139,7 +176,7 @@
 // correctSkew returns the move of an engine whose software version has too many or too few that prefill.
 func (c *Controller) correctSkew(state *corrections, engines []*directory.Endpoint, counts softwareCounts, want int) (move, bool) {
 	now := c.cfg.Now()
-	if len(counts) < 2 || c.anyChanging() || now.Sub(state.skewedAt) < c.cfg.Balance.Pause {
+	if c.anyChanging() || now.Sub(state.skewedAt) < c.cfg.Balance.Pause {
 		return move{}, false
 	}
 	software, to, found := counts.skewed(want)
--- a/rolechange/software_test.go
+++ b/rolechange/software_test.go
@@ -77,3 +77,39 @@
 		})
 	}
 }
+
+// Engines of a version leave one after the other, first those that decode. While two are left, one of them
+// decodes, or takes that role at once.
+func TestVersionThatLeavesKeepsDecoding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, 0)
+		env.fleet.addSoftware("v1", 4, 3)
+		env.fleet.addSoftware("v2", 4, 3)
+		env.pressure = Pressure{Running: 10, Slots: 8}
+		stop := env.run(env.newCandidate("a", 0))
+		defer stop()
+		time.Sleep(10 * time.Second)
+		without, longest := time.Duration(0), time.Duration(0)
+		for env.fleet.countsOf("v1").total() > 1 {
+			for _, e := range env.dir.Snapshot().Service("llm") {
+				if e.SoftwareVersion == "v1" && e.Role == engine.Decode {
+					env.dir.Remove(e.ID)
+					break
+				}
+			}
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				if counts := env.fleet.countsOf("v1"); counts.Decode > 0 || counts.total() < 2 {
+					without = 0
+					continue
+				}
+				without += 100 * time.Millisecond
+				longest = max(longest, without)
+			}
+		}
+		t.Logf("without an engine that decodes for %v, %d orders", longest, env.fleet.count())
+		if longest > 0 {
+			t.Errorf("v1 had no engine that decodes for %v while two were left", longest)
+		}
+	})
+}
