origin: a VM of an older build shows that this one is not cut off

A VM among others of older builds took their 404 for no answer, and itself for cut off: it refused all streams that were taken up there, though one version served.

--- a/loadshare/stall.go
+++ b/loadshare/stall.go
@@ -112,6 +112,7 @@
 		}
 	}
 	catchUpsFailed.Inc()
+	klog.InfoS("loadshare: what arrived during a stall was not processed in time", "limit", maxCatchUp)
 	if first {
 		x.stall.reach(time.Time{})
 	}
--- a/origin/peers.go
+++ b/origin/peers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/origin/originpb"
 )
@@ -36,7 +39,11 @@
 func (c *Client) Find(ctx context.Context, address string, stream uint64, service string) (Answer, error) {
 	peer := originpb.NewOriginsProtobufClient("http://"+address, c.http)
 	r, err := peer.Find(ctx, &originpb.FindRequest{Stream: stream, Service: service})
-	if err != nil {
+	var coded twirp.Error
+	switch {
+	case errors.As(err, &coded) && coded.Code() == twirp.BadRoute:
+		return Answer{}, nil // an older build knows nothing, but shows that this VM is not cut off
+	case err != nil:
 		return Answer{}, err
 	}
 	return Answer{Software: r.Software, Age: time.Duration(r.AgeMs) * time.Millisecond, Versions: r.Versions, Covered: r.Covered, Current: r.Current}, nil
