--- a/origin/history.go
+++ b/origin/history.go
@@ -81,9 +81,10 @@
 	current bool
 }
 
-// hasOneVersion reports whether the service is known to have had a single version, and isOnly whether that is
-// the one with a hash.
-func (v view) hasOneVersion() bool         { return v.covered && v.current && len(v.versions) == 1 }
+// hasOneVersion reports whether the service is known to have had a single version.
+func (v view) hasOneVersion() bool { return v.covered && v.current && len(v.versions) == 1 }
+
+// isOnly reports whether the service is known to have had only the version with a hash.
 func (v view) isOnly(software uint32) bool { return v.hasOneVersion() && v.versions[0] == software }
 
 // needRecords returns the software whose streams need records, because it is not known to be the only
