poison: an interrupted run waits longer for the verdict once its endpoint refuses connections

Cause, from the logs of both: the probe of the crashed endpoint took over 20 ms beside load, the run waited no longer and was placed on the other one. Waiting longer in every case would delay runs on VMs that are cut off. A refused connection tells a crash from a cut within a round trip: the run then waits up to 150 ms for the other VMs, otherwise up to 50 ms.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -65,9 +65,9 @@
 }
 
 // isDown reports whether nothing listens at an endpoint's address any more. The failed connection of
-// this VM alone does not show it if another VM can be asked.
-func (g *Gateway) isDown(ctx context.Context, e *directory.Endpoint) bool {
-	return errors.Is(g.reach.Connect(ctx, e), unix.ECONNREFUSED)
+// this VM alone, which refused reports, does not show it if another VM can be asked.
+func (g *Gateway) isDown(ctx context.Context, e *directory.Endpoint, refused func()) bool {
+	return errors.Is(g.reach.ConnectObserved(ctx, e, refused), unix.ECONNREFUSED)
 }
 
 // responsiveVMs returns the other VMs that are responsive.
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -19,9 +19,8 @@
 
 // Config holds the dependencies of a Guard.
 type Config struct {
-	// Down reports whether an endpoint's address no longer accepts connections. An endpoint that
-	// does not respond is not down.
-	Down func(ctx context.Context, e *directory.Endpoint) bool
+	// Down is that of RunTrackerConfig.
+	Down func(ctx context.Context, e *directory.Endpoint, refused func()) bool
 	// OnDown is called when this VM or another one has found an endpoint down; nil does nothing.
 	OnDown func(e *directory.Endpoint)
 	// Broadcast sends an announcement to all other VMs. PropagationDelay returns how long it takes
--- a/poison/region_test.go
+++ b/poison/region_test.go
@@ -76,7 +76,7 @@
 	ctx, stop := context.WithCancel(r.t.Context())
 	v := &testVM{name: name, stop: stop}
 	v.Guard = NewGuard(Config{
-		Down: func(_ context.Context, e *directory.Endpoint) bool {
+		Down: func(_ context.Context, e *directory.Endpoint, _ func()) bool {
 			time.Sleep(probeTime)
 			return r.isDown(e)
 		},
--- a/poison/runs.go
+++ b/poison/runs.go
@@ -23,9 +23,11 @@
 	// request that this VM has abandoned.
 	runRetention = 2 * time.Second
 	// probeWait is how long an interrupted run waits for the probe of its endpoint, so that it is
-	// not placed again before the result is known. It is several round trips. Without the wait, a
-	// request whose third endpoint had crashed was sent to a fourth one.
-	probeWait = 20 * time.Millisecond
+	// not placed again before the result is known: several round trips, and the delays of a busy VM. Without
+	// the wait, a request whose third endpoint had crashed was sent to a fourth one. refusedProbeWait is how
+	// long it waits once the endpoint has refused a connection of this VM: other VMs are asked then.
+	probeWait        = 50 * time.Millisecond
+	refusedProbeWait = 150 * time.Millisecond
 	// maxEndedRuns bounds the runs retained for one endpoint. It exceeds the capacity of the
 	// endpoint's slots and queue.
 	maxEndedRuns = 256
@@ -54,8 +56,9 @@
 // RunTrackerConfig holds the dependencies of a RunTracker.
 type RunTrackerConfig struct {
 	// Down reports whether an endpoint's address no longer accepts connections. An endpoint that
-	// does not respond is not down.
-	Down func(ctx context.Context, e *directory.Endpoint) bool
+	// does not respond is not down. It calls refused as soon as the endpoint has refused a connection of this
+	// VM, which may be this VM's own fault.
+	Down func(ctx context.Context, e *directory.Endpoint, refused func()) bool
 	// OnDown is called when this VM or another one has found an endpoint down; nil does nothing.
 	OnDown func(e *directory.Endpoint)
 	// OnCrash is called for each crash, and again with the same ID for suspects found later.
@@ -82,8 +85,8 @@
 // endpointState is the state of one incarnation of an endpoint.
 type endpointState struct {
 	endpoint *directory.Endpoint
-	// probeDone is closed when the probe in progress ends, and nil if there is none.
-	probeDone chan struct{}
+	// probe is the probe in progress, or nil.
+	probe *probe
 	// downAt is when a probe, by this VM or another, found the endpoint down.
 	downAt time.Time
 	// ended are the runs that ended without a complete response, oldest first.
@@ -139,7 +142,7 @@
 }
 
 // RecordEnd records the end of a run. If the run was interrupted, it returns once the endpoint has
-// been probed, or after probeWait.
+// been probed, or after the time that probe.await allows.
 func (r *RunTracker) RecordEnd(request *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
 	now := r.cfg.Now()
 	r.removeActive(request)
@@ -160,14 +163,14 @@
 	}
 	s.ended = append(s.ended, run)
 	s.ended = s.ended[max(0, len(s.ended)-maxEndedRuns):]
-	if end.Outcome == relay.RunInterrupted && s.probeDone == nil {
-		s.probeDone = make(chan struct{})
-		go r.probe(e, s.probeDone)
+	if end.Outcome == relay.RunInterrupted && s.probe == nil {
+		s.probe = newProbe()
+		go r.runProbe(e, s.probe)
 	}
-	probeDone := s.probeDone
+	p := s.probe
 	r.mu.Unlock()
 	if end.Outcome == relay.RunInterrupted {
-		awaitProbe(probeDone)
+		p.await()
 	}
 }
 
@@ -192,12 +195,29 @@
 	return r.completed.contains(fingerprint, r.cfg.Now())
 }
 
-// awaitProbe waits until a probe ends, for at most probeWait.
-func awaitProbe(probeDone <-chan struct{}) {
+// probe is a probe in progress of whether an endpoint is down.
+type probe struct {
+	// refused is closed once the endpoint has refused a connection of this VM, and done at the end.
+	refused, done chan struct{}
+}
+
+func newProbe() *probe { return &probe{refused: make(chan struct{}), done: make(chan struct{})} }
+
+// await waits until the probe ends, for at most probeWait, or refusedProbeWait once the endpoint has refused a
+// connection.
+func (p *probe) await() {
 	timer := time.NewTimer(probeWait)
 	defer timer.Stop()
 	select {
-	case <-probeDone:
+	case <-p.done:
+		return
+	case <-timer.C:
+		return
+	case <-p.refused:
+	}
+	timer.Reset(refusedProbeWait)
+	select {
+	case <-p.done:
 	case <-timer.C:
 	}
 }
@@ -211,12 +231,12 @@
 // RecordRemoteCrash records that another VM found an endpoint down.
 func (r *RunTracker) RecordRemoteCrash(e *directory.Endpoint) { r.markDown(e) }
 
-// probe checks whether an endpoint is down.
-func (r *RunTracker) probe(e *directory.Endpoint, probeDone chan struct{}) {
-	defer close(probeDone)
+// runProbe checks whether an endpoint is down.
+func (r *RunTracker) runProbe(e *directory.Endpoint, p *probe) {
+	defer close(p.done)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	if r.cfg.Down(ctx, e) {
+	if r.cfg.Down(ctx, e, sync.OnceFunc(func() { close(p.refused) })) {
 		r.markDown(e)
 		return
 	}
@@ -224,7 +244,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.byIncarnation[e.Incarnation()]; s != nil {
-		s.probeDone = nil
+		s.probe = nil
 	}
 }
 
@@ -234,7 +254,7 @@
 	now := r.cfg.Now()
 	r.mu.Lock()
 	s := r.state(e, now)
-	s.probeDone, s.downAt = nil, now
+	s.probe, s.downAt = nil, now
 	runs := s.ended
 	s.ended = nil
 	r.mu.Unlock()
--- a/poison/runs_test.go
+++ b/poison/runs_test.go
@@ -28,16 +28,23 @@
 	*RunTracker
 	down      map[string]bool
 	probeTime time.Duration
-	probes    int
-	suspects  []string
+	// refusedAfter is when the endpoint refuses a connection of this VM; zero if it does not. The probe takes
+	// probeTime more.
+	refusedAfter time.Duration
+	probes       int
+	suspects     []string
 }
 
 func newTestTracker() *testTracker {
 	tracker := &testTracker{down: map[string]bool{}, probeTime: time.Millisecond}
 	tracker.RunTracker = NewRunTracker(RunTrackerConfig{
 		Now: time.Now,
-		Down: func(_ context.Context, e *directory.Endpoint) bool {
+		Down: func(_ context.Context, e *directory.Endpoint, refused func()) bool {
 			tracker.probes++
+			if tracker.refusedAfter > 0 {
+				time.Sleep(tracker.refusedAfter)
+				refused()
+			}
 			time.Sleep(tracker.probeTime)
 			return tracker.down[e.ID]
 		},
@@ -101,6 +108,34 @@
 	}
 }
 
+// Guards against a run that is placed again before it is known that it has crashed its endpoint, because the
+// probe takes long beside load. If connections hang, as on a VM that is cut off, it goes on sooner.
+func TestInterruptedRunWaitsForVerdict(t *testing.T) {
+	for _, tc := range []struct {
+		name                    string
+		refusedAfter, probeTime time.Duration
+		want                    time.Duration
+	}{
+		{"the probe ends", 0, 3 * time.Millisecond, 3 * time.Millisecond},
+		{"refused, other VMs are slow to answer", 30 * time.Millisecond, 90 * time.Millisecond, 120 * time.Millisecond},
+		{"refused, other VMs do not answer", 5 * time.Millisecond, 190 * time.Millisecond, 155 * time.Millisecond},
+		{"the connection hangs", 0, 190 * time.Millisecond, probeWait},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTestTracker()
+				tracker.probeTime, tracker.refusedAfter, tracker.down["e"] = tc.probeTime, tc.refusedAfter, true
+				start := time.Now()
+				tracker.RecordEnd(request("caller", "a", "a"), endpoint("e"), relay.RunEnd{Outcome: relay.RunInterrupted})
+				if waited := time.Since(start); waited != tc.want {
+					t.Errorf("the run waited for %v, want %v", waited, tc.want)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // A run that this VM abandoned on an endpoint whose crash another VM observed is a suspect too.
 func TestCrashReportedByAnotherVM(t *testing.T) {
 	tracker := newTestTracker()
--- a/poison/suspicion_test.go
+++ b/poison/suspicion_test.go
@@ -205,7 +205,7 @@
 			var crashes []Crash
 			r := NewRunTracker(RunTrackerConfig{
 				Now: func() time.Time { return now }, OnCrash: func(c Crash) { crashes = append(crashes, c) },
-				Down: func(context.Context, *directory.Endpoint) bool { return true },
+				Down: func(context.Context, *directory.Endpoint, func()) bool { return true },
 			})
 			e := endpoint("e")
 			r.RecordEnd(request("caller", "first", "body"), e, relay.RunEnd{Outcome: relay.RunCompleted})
--- a/reach/inquiry.go
+++ b/reach/inquiry.go
@@ -17,7 +17,15 @@
 // endpoint, others are asked. The error wraps unix.ECONNREFUSED only if they find the endpoint down
 // too, or if none has answered and this VM reaches other endpoints.
 func (c *Client) Connect(ctx context.Context, e *directory.Endpoint) error {
+	return c.ConnectObserved(ctx, e, func() {})
+}
+
+// ConnectObserved is Connect, and calls refused as soon as this VM's own connection was refused.
+func (c *Client) ConnectObserved(ctx context.Context, e *directory.Endpoint, refused func()) error {
 	err := c.cfg.Direct.Connect(ctx, e)
+	if errors.Is(err, unix.ECONNREFUSED) {
+		refused()
+	}
 	if err == nil {
 		c.recordOpen(e)
 	}
