loadshare, rolechange: no stream records for nobody, no check written twice

Read once more: a VM without others queued the records of its streams up to the limit of 32,768 and copied the queue for each further one, since nothing is ever sent there; it drops them now (TestStreamRecordsWithoutPeersAreNotQueued; the test of bytes has a peer since, with the same figures). anyChanging repeated Controller.Changing. acceptSequence checked for this VM's own datagrams, which handle takes out before.

--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -359,9 +359,6 @@
 // VM. A load from another start of the process is always accepted, because the sequence numbers
 // restart.
 func (x *Exchange) acceptSequence(load *sharepb.Load) bool {
-	if load.Vm == x.cfg.VM {
-		return false
-	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	last := x.lastReceived[load.Vm]
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -67,11 +67,13 @@
 }
 
 // PublishStreams sends records to the VMs that keep them: all others in a small region, and in a large one
-// the collector of the zone and that of another zone.
+// the collector of the zone and that of another zone. Without other VMs it drops them.
 func (x *Exchange) PublishStreams(records ...StreamRecord) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.streams.add(records...)
+	if len(x.region.peers) > 0 {
+		x.streams.add(records...)
+	}
 }
 
 // StreamKeepers returns the other VMs that may hold a stream record and are presumed alive: those of a small
--- a/loadshare/streams_test.go
+++ b/loadshare/streams_test.go
@@ -110,6 +110,7 @@
 // most a quarter of the 8 kB/s that a VM may send for control.
 func TestStreamRecordsOfVMAreSmall(t *testing.T) {
 	x := New(Config{VM: "front-hal-noord-1", Zone: "hal-noord", Address: "10.100.200.300:12345"})
+	x.SetPeers([]Peer{{Name: "front-hal-noord-2", Zone: "hal-noord"}})
 	const perSecond = 17_000 / 380
 	rounds := int(time.Second / memberInterval)
 	bytes := 0
@@ -131,3 +132,17 @@
 		t.Errorf("the records add %d bytes a second, want at most 2000", bytes)
 	}
 }
+
+// A VM without others keeps no records to send: nobody takes them, and the queue would only fill.
+func TestStreamRecordsWithoutPeersAreNotQueued(t *testing.T) {
+	x := New(Config{VM: "vm", Zone: "z"})
+	x.PublishStreams(StreamRecord{Stream: 1, Software: 7})
+	if n := len(x.streams.items); n > 0 {
+		t.Errorf("%d records are queued", n)
+	}
+	x.SetPeers([]Peer{{Name: "other", Zone: "z"}})
+	x.PublishStreams(StreamRecord{Stream: 1, Software: 7})
+	if n := len(x.streams.items); n != 1 {
+		t.Errorf("%d records are queued, want 1", n)
+	}
+}
--- a/rolechange/software.go
+++ b/rolechange/software.go
@@ -176,7 +176,7 @@
 // correctSkew returns the move of an engine whose software version has too many or too few that prefill.
 func (c *Controller) correctSkew(state *corrections, engines []*directory.Endpoint, counts softwareCounts, want int) (move, bool) {
 	now := c.cfg.Now()
-	if c.anyChanging() || now.Sub(state.skewedAt) < c.cfg.Balance.Pause {
+	if len(c.Changing()) > 0 || now.Sub(state.skewedAt) < c.cfg.Balance.Pause {
 		return move{}, false
 	}
 	software, to, found := counts.skewed(want)
@@ -208,11 +208,3 @@
 	}
 	return list
 }
-
-// anyChanging reports whether a change is pending.
-func (c *Controller) anyChanging() bool {
-	c.resolve()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.changing) > 0
-}
