feedshare: log the first failed query of the store, with its wait

CONFIG: the metrics tell which VMs' queries failed, but nothing tells how long a query had waited, which distinguishes a query sent into the silence from one that was waiting when it began. No change of logic.

--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -117,6 +117,8 @@
 	storePolled bool
 	// lastSource is the source of the last response, for the log.
 	lastSource string
+	// storeFailing is set if the last query of the store failed.
+	storeFailing bool
 
 	// expedite holds when expedited queries end, and expedited wakes the follower from a pause.
 	expedite  atomic.Pointer[time.Time]
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -190,6 +190,9 @@
 	sentAt := clock.Now()
 	changes, next, err := s.store.Changes(ctx, name, after, wait)
 	if err != nil {
+		if ctx.Err() == nil {
+			s.logStoreFailure(err, wait, clock.Since(sentAt))
+		}
 		s.storeFailed(err)
 		return nil, 0, err
 	}
@@ -283,6 +286,7 @@
 	if isHistoryGone(err) {
 		return
 	}
+	s.storeFailing = true
 	s.cache.markUnavailable()
 	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_feed_lost_total{table=%q}`, s.table)).Inc()
 	position := s.position()
@@ -297,10 +301,25 @@
 	s.storeBackoffUntil, s.storeErr = clock.Now().Add(loop.Jitter(pause)), err
 }
 
+// logStoreFailure logs a failed query for changes. Failures that follow each other without a response
+// of the store in between are logged once at the default level.
+func (s *Source) logStoreFailure(err error, wait, took time.Duration) {
+	if isHistoryGone(err) {
+		return
+	}
+	level := klog.Level(0)
+	if s.storeFailing {
+		level = 1
+	}
+	klog.V(level).InfoS("feedshare: query of the store failed", "table", s.table, "waitMS", wait.Milliseconds(), "tookMS", took.Milliseconds(), "before", s.lastSource, "err", err)
+}
+
 // recordSource records the source of a response and ends the store's backoff.
 func (s *Source) recordSource(source string, version table.Version) {
 	kind := fromStore
-	if source != fromStore {
+	if source == fromStore {
+		s.storeFailing = false
+	} else {
 		kind = "vm"
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_feed_answers_total{table=%q,from=%q}`, s.table, kind)).Inc()
