feedshare: a silence of the store no longer delays the news of a change

Callers saw: a VM refused requests with 404 for a route that had been acknowledged 3.3 s before.

Cause: a VM that sends a query for changes into a silence learns nothing until that query times out after 4.5 s. The answer of another VM ended the outage for the follower, so that the next query went to the store, which was still silent, with the full wait; and the wait was chosen for the number of calls and never compared with the time within which a silence must be noticed. Ruled out: the pause after failed queries (1.2 s at most).

--- a/feedshare/cache.go
+++ b/feedshare/cache.go
@@ -123,6 +123,13 @@
 // fresh reports whether the cached table is recent enough to be served. The caller holds mu.
 func (c *cache) fresh() bool { return c.confirmed != unconfirmed && clock.Since(c.confirmed) <= c.ttl }
 
+// isFresh is fresh for callers that don't hold mu.
+func (c *cache) isFresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh()
+}
+
 // encodedList returns the whole table: its encoded rows, which the caller must not modify, and its
 // version. All queries share one copy of the rows: when a fleet starts, hundreds of VMs ask within a
 // second. The version is apart from them, because it also grows without changes of the rows.
@@ -164,7 +171,8 @@
 	}
 }
 
-// changes returns the changes after a version, as soon as there are some or ctx ends.
+// changes returns the changes after a version, as soon as there are some or ctx ends. That there are
+// none is only stated while the table is recent enough to be served.
 func (c *cache) changes(ctx context.Context, name string, after table.Version) ([]table.Change, table.Version, error) {
 	for {
 		c.mu.Lock()
@@ -175,11 +183,13 @@
 		if err != nil || len(changes) > 0 {
 			return changes, version, err
 		}
-		if waitForChange(ctx, changed) {
+		switch {
+		case waitForChange(ctx, changed):
 			continue
-		}
-		if version < after {
+		case version < after:
 			return nil, 0, &BehindError{Version: version, Local: after}
+		case !c.isFresh():
+			return nil, 0, &NotReaderError{Table: name}
 		}
 		return nil, version, nil
 	}
--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -61,18 +61,22 @@
 
 // Settings configures a Source.
 type Settings struct {
-	// PropagationLimit is the time within which a change must reach every VM. A query of a VM
-	// that serves peers, or is served by one, waits a third of it: a source that became
-	// unresponsive is detected in that time, and the rest is left for reading from the store.
+	// PropagationLimit is the time within which a change must reach every VM. It bounds the wait of
+	// every query: a source that became unresponsive is detected when a query to it times out, and
+	// the rest is left for reading from another one.
 	PropagationLimit time.Duration
 	// CoalesceInterval is the pause before the next query of the store after a response with
 	// changes, so that the changes made meanwhile arrive in one response.
 	CoalesceInterval time.Duration
 }
 
-// pollWait is the longest wait of a query that other VMs depend on.
+// pollWait is the longest wait of a query that other VMs depend on, or that another VM answers.
 func (s Settings) pollWait() time.Duration { return s.PropagationLimit / 3 }
 
+// storeWait is the longest wait of any other query of the store. The last third of the limit is for
+// the timeout of a query that gets no response, and for the next query.
+func (s Settings) storeWait() time.Duration { return 2 * s.PropagationLimit / 3 }
+
 // Position is the position of a VM in the order of its zone.
 type Position struct {
 	// PrecedingPeers are the addresses of some of the VMs that precede this one in the order of
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -135,14 +135,30 @@
 	if err == nil || isHistoryGone(err) {
 		return changes, next, err
 	}
+	if changes, next, peerErr := s.changesFromOutside(ctx, name, after, shortWait); peerErr == nil || isHistoryGone(peerErr) {
+		return changes, next, peerErr
+	}
+	return nil, 0, err
+}
+
+// changesFromOutside queries VMs outside the zone until one answers. It stops after one that does not
+// respond, so that the store, which may be back, is queried again.
+func (s *Source) changesFromOutside(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	var err error = &NotReaderError{Table: name}
 	for _, address := range s.available(s.position().PeersOutsideZone()) {
-		peerCtx, cancel := clock.WithTimeout(ctx, shortWait+peerResponseMargin)
-		changes, next, peerErr := s.changesFromPeer(peerCtx, address, name, after, shortWait)
+		var changes []table.Change
+		var next table.Version
+		sentAt := clock.Now()
+		peerCtx, cancel := clock.WithTimeout(ctx, wait+peerResponseMargin)
+		changes, next, err = s.changesFromPeer(peerCtx, address, name, after, wait)
 		cancel()
-		if peerErr == nil || isHistoryGone(peerErr) {
-			return changes, next, peerErr
+		if err == nil || isHistoryGone(err) {
+			return changes, next, err
+		}
+		s.backOffPeer(address, err)
+		if clock.Since(sentAt) >= wait {
+			break
 		}
-		s.backOffPeer(address, peerErr)
 	}
 	return nil, 0, err
 }
@@ -176,27 +192,65 @@
 	return ctx, cancel
 }
 
+// changesFromStore queries the store for changes. A query that gets no response is repeated once over
+// another connection, as its own may have fallen silent while the store responds.
 func (s *Source) changesFromStore(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	if err := s.cooldown(); err != nil {
 		return nil, 0, err
 	}
 	s.awaitCoalescing(ctx)
-	if s.servesPeers() || !s.storePolled {
+	repeat := !s.storeFailing
+	wait = s.boundStoreWait(wait)
+	changes, next, took, err := s.queryStore(ctx, name, after, wait)
+	if repeat && isUnanswered(err, took, wait) {
+		s.cache.markUnavailable() // VMs that read from this one need not wait for the second query
+		changes, next, _, err = s.queryStore(ctx, name, after, 0)
+	}
+	if err != nil {
+		s.storeFailed(err)
+	}
+	return changes, next, err
+}
+
+// boundStoreWait shortens the requested wait of a query of the store.
+//
+// Invariant: a query waits for a change only if the store answered the last one. Until then it is not
+// known whether the store, or an open connection to it, responds, and a query that got lost would keep
+// this VM from noticing that the store does.
+func (s *Source) boundStoreWait(requested time.Duration) time.Duration {
+	switch {
+	case s.storeFailing || s.lastSource != fromStore:
+		return 0
+	case s.servesPeers() || !s.storePolled:
 		// A VM's first query must not wait long either: peers may turn out to depend on this VM,
 		// which serves nothing until the store has responded.
-		wait = min(wait, s.settings.pollWait())
+		return min(requested, s.settings.pollWait())
 	}
+	return min(requested, s.settings.storeWait())
+}
+
+// minUnansweredTime is how long a query without a wait takes at least if it gets no response: less
+// than any timeout of the platform's client, and more than a refusal takes.
+const minUnansweredTime = 100 * time.Millisecond
+
+// isUnanswered reports whether a query failed because it got no response, not by a refusal or a reset.
+func isUnanswered(err error, took, wait time.Duration) bool {
+	return err != nil && !isHistoryGone(err) && took >= wait+minUnansweredTime
+}
+
+// queryStore sends one query for changes to the store, and returns how long it took.
+func (s *Source) queryStore(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, time.Duration, error) {
 	s.storePolled = true
 	sentAt := clock.Now()
 	changes, next, err := s.store.Changes(ctx, name, after, wait)
+	receivedAt := clock.Now()
+	took := receivedAt.Sub(sentAt)
 	if err != nil {
 		if ctx.Err() == nil {
-			s.logStoreFailure(err, wait, clock.Since(sentAt))
+			s.logStoreFailure(err, wait, took)
 		}
-		s.storeFailed(err)
-		return nil, 0, err
+		return nil, 0, took, err
 	}
-	receivedAt := clock.Now()
 	if len(changes) > 0 {
 		s.changedAt = receivedAt
 		s.setNotBefore(changes, sentAt, receivedAt)
@@ -204,7 +258,7 @@
 	s.confirmedAt = sentAt
 	s.recordSource(fromStore, next)
 	s.cache.apply(after, changes, next, earliest(receivedAt, sentAt.Add(wait+storeResponseMargin)))
-	return changes, next, nil
+	return changes, next, took, nil
 }
 
 // promptResponse is the longest time that a healthy store takes to respond to a query for changes
--- a/feedshare/suspension_test.go
+++ b/feedshare/suspension_test.go
@@ -1,9 +1,11 @@
 package feedshare
 
 import (
+	"context"
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/springweir/springweir/internal/clock"
@@ -26,3 +28,27 @@
 		t.Errorf("after a suspension of 5 s the table is still served: %v", err)
 	}
 }
+
+// Guards against a VM that is told that nothing has changed by one that has meanwhile not heard from the
+// store for too long to know.
+func TestNoChangeIsStatedOnlyByFreshCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ttl, wait = 1600 * time.Millisecond, 600 * time.Millisecond
+		c := newCache(ttl)
+		c.reset([]table.Row{{Key: key("row"), Version: 1}}, 1, clock.Now())
+		query := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), wait)
+			defer cancel()
+			_, _, err := c.changes(ctx, "t", 1)
+			return err
+		}
+		if err := query(); err != nil {
+			t.Errorf("while the store's last response is recent: %v", err)
+		}
+		time.Sleep(ttl - wait - 100*time.Millisecond)
+		var notReader *NotReaderError
+		if err := query(); !errors.As(err, &notReader) {
+			t.Errorf("the copy became too old while the query waited: %v", err)
+		}
+	})
+}
