--- a/loadshare/announcements.go
+++ b/loadshare/announcements.go
@@ -38,11 +38,15 @@
 	Signals []*sharepb.EndpointSignal
 	// Copies lists runs in progress of requests that may have crashed an endpoint.
 	Copies []*sharepb.Copy
+	// Answered lists parts of prompts that are no longer suspected of causing a crash.
+	Answered []*sharepb.AnsweredParts
+	// Recurred lists the IDs of crashes of which a suspect has come again.
+	Recurred []uint64
 }
 
 // empty reports whether the announcement has no content.
 func (a Announcement) empty() bool {
-	return len(a.Crashes) == 0 && len(a.Cleared) == 0 && len(a.Signals) == 0 && len(a.Copies) == 0
+	return len(a.Crashes) == 0 && len(a.Cleared) == 0 && len(a.Signals) == 0 && len(a.Copies) == 0 && len(a.Answered) == 0 && len(a.Recurred) == 0
 }
 
 // outbox queues the announcements to send. It is part of an Exchange and guarded by the Exchange's
@@ -80,6 +84,12 @@
 	for _, c := range a.Copies {
 		o.enqueue(now, &sharepb.Load{Copies: []*sharepb.Copy{c}})
 	}
+	for _, answered := range a.Answered {
+		o.enqueue(now, &sharepb.Load{Answered: []*sharepb.AnsweredParts{answered}})
+	}
+	for _, crash := range a.Recurred {
+		o.enqueue(now, &sharepb.Load{Recurred: []uint64{crash}})
+	}
 }
 
 func (o *outbox) enqueue(now time.Time, load *sharepb.Load) {
@@ -116,6 +126,8 @@
 		last.Cleared = append(last.Cleared, item.load.Cleared...)
 		last.Signals = append(last.Signals, item.load.Signals...)
 		last.Copies = append(last.Copies, item.load.Copies...)
+		last.Answered = append(last.Answered, item.load.Answered...)
+		last.Recurred = append(last.Recurred, item.load.Recurred...)
 		size += n
 		if item.sendsLeft--; item.sendsLeft > 0 {
 			rest = append(rest, item)
@@ -168,7 +180,7 @@
 // handleAnnouncements processes the announcements of a datagram, and queues them for forwarding if
 // this VM is a collector.
 func (x *Exchange) handleAnnouncements(load *sharepb.Load) {
-	a := Announcement{Crashes: load.Crashes, Cleared: load.Cleared, Signals: load.Signals, Copies: load.Copies}
+	a := Announcement{Crashes: load.Crashes, Cleared: load.Cleared, Signals: load.Signals, Copies: load.Copies, Answered: load.Answered, Recurred: load.Recurred}
 	if a.empty() || x.cfg.OnAnnouncement == nil {
 		return
 	}
--- a/loadshare/announcements_test.go
+++ b/loadshare/announcements_test.go
@@ -54,6 +54,16 @@
 }
 
 func startAnnouncementRecorders(t *testing.T, size int) []*announcementRecorder {
+	t.Helper()
+	list := newAnnouncementRecorders(t, size)
+	for _, r := range list {
+		r.run(t)
+	}
+	return list
+}
+
+// newAnnouncementRecorders returns VMs that know each other and don't run yet.
+func newAnnouncementRecorders(t *testing.T, size int) []*announcementRecorder {
 	t.Helper()
 	var list []*announcementRecorder
 	for i := range size {
@@ -77,20 +87,22 @@
 		}
 		r.x.SetPeers(peers)
 	}
-	for _, r := range list {
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- r.x.Run(ctx) }()
-		t.Cleanup(func() {
-			cancel()
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		})
-	}
 	return list
 }
 
+// run runs a VM until the test ends.
+func (r *announcementRecorder) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.x.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Announcements of every VM reach all others, directly in a small region and through the collectors
 // in a large one, and each VM receives one a bounded number of times.
 func TestAnnouncementsReachAllVMs(t *testing.T) {
--- a/loadshare/golden_test.go
+++ b/loadshare/golden_test.go
@@ -37,6 +37,8 @@
 	goldenCrashes  = []*sharepb.Crash{{Id: 0x1122334455667788, Suspects: []*sharepb.Suspect{{Key: []byte("0123456789abcdef"), Streaming: true, Origin: 77}, {Key: []byte("fedcba9876543210"), Origin: 78}}}}
 	goldenCleared  = [][]byte{[]byte("0011223344556677"), []byte("7766554433221100")}
 	goldenSignals  = []*sharepb.EndpointSignal{{Endpoint: 0x99aabbccddeeff00, Version: 6, Limited: true, LimitMilli: 2500}, {Endpoint: 0x99aabbccddeeff01, Draining: true}}
+	goldenParts    = []*sharepb.Crash{{Id: 0x1122334455667789, Parts: [][]byte{[]byte("aaaabbbbccccdddd"), []byte("ddddccccbbbbaaaa")}, Suspects: []*sharepb.Suspect{{Key: []byte("0123456789abcdef"), Origin: 77, Parts: []uint32{1, 0}}}}}
+	goldenAnswered = []*sharepb.AnsweredParts{{Parts: [][]byte{[]byte("aaaabbbbccccdddd")}, Occasion: 0x1122334455667789}}
 	goldenUsage    = goldenAccounts{{Vm: "vm-1", Zone: "zone-a", Boot: 0xb007, Window: 480001, Organisation: []uint64{0xabc, 0xdef}, Count: []uint32{7, 300}, Sealed: 480000, SilentMs: 40}}
 	goldenEcho     = &sharepb.Echo{Boot: 0xb008, Stamp: 987654}
 	goldenReport   = Report{Work: goldenWork(2), Placed: goldenPlaced, Changing: []uint32{0xe0000001}, Refusing: []uint32{0xe0000005, 0xe0000006}}
@@ -69,6 +71,9 @@
 	x.sendMessage(socket, message{scope: scopeRegion, to: []Peer{peer}})
 	x.PublishStreams(StreamRecord{Stream: 0x1122334455667788, Software: 0xe1}, StreamRecord{Stream: 0x99aabbccddeeff00, Software: 0xe2}, StreamRecord{Stream: 3, Software: 0xe1})
 	x.sendMessage(socket, message{scope: scopeVM, to: []Peer{peer}})
+	x.outbox = newOutbox()
+	x.Broadcast(Announcement{Crashes: goldenParts, Answered: goldenAnswered})
+	x.sendAnnouncements(socket)
 	var list [][]byte
 	buf := make([]byte, 64<<10)
 	for range goldenFiles {
@@ -82,7 +87,7 @@
 }
 
 // goldenFiles names the files of the datagrams in the order in which they are sent.
-var goldenFiles = []string{"work", "announcement", "usage", "zone-sum-0", "zone-sum-1", "region-sum", "streams"}
+var goldenFiles = []string{"work", "announcement", "usage", "zone-sum-0", "zone-sum-1", "region-sum", "streams", "parts"}
 
 // goldenLoads returns the contents of the datagrams in the same order.
 func goldenLoads() []*sharepb.Load {
@@ -94,6 +99,7 @@
 		{ZoneSum: true, Segments: 2, Silent: []uint32{0x51}, Segment: 1},
 		{RegionSum: true, Segments: 1, Silent: []uint32{0x51, 0x52}},
 		{Segments: 1, Streams: []*sharepb.Streams{{Software: 0xe1, Stream: []uint64{0x1122334455667788, 3}}, {Software: 0xe2, Stream: []uint64{0x99aabbccddeeff00}}}},
+		{NoWork: true, Crashes: goldenParts, Answered: goldenAnswered},
 	}
 	for i, load := range list {
 		load.Vm, load.Zone, load.Address, load.Boot, load.Sequence = "vm-1", "zone-a", "10.0.0.1:7400", 0xb007, 101+uint64(i)
--- a/poison/completed.go
+++ b/poison/completed.go
@@ -22,15 +22,11 @@
 type completedRequests struct {
 	// seed makes the fingerprints unpredictable to callers.
 	seed uint64
-	at   map[uint64]time.Time
-	// order holds the fingerprints as they were added; next is the position of the oldest once the
-	// list is full.
-	order []uint64
-	next  int
+	at   recent[uint64, time.Time]
 }
 
 func newCompletedRequests(seed uint64) *completedRequests {
-	return &completedRequests{seed: seed, at: map[uint64]time.Time{}}
+	return &completedRequests{seed: seed, at: newRecent[uint64, time.Time](maxCompleted)}
 }
 
 // fingerprint identifies the same requests as KeyOf within this process. It takes a few
@@ -42,23 +38,10 @@
 }
 
 // add records a complete response to a request.
-func (c *completedRequests) add(fingerprint uint64, now time.Time) {
-	_, known := c.at[fingerprint]
-	c.at[fingerprint] = now
-	if known {
-		return
-	}
-	if len(c.order) < maxCompleted {
-		c.order = append(c.order, fingerprint)
-		return
-	}
-	delete(c.at, c.order[c.next])
-	c.order[c.next] = fingerprint
-	c.next = (c.next + 1) % maxCompleted
-}
+func (c *completedRequests) add(fingerprint uint64, now time.Time) { c.at.put(fingerprint, now) }
 
 // contains reports whether a request had a complete response within completedRetention.
 func (c *completedRequests) contains(fingerprint uint64, now time.Time) bool {
-	at, known := c.at[fingerprint]
+	at, known := c.at.get(fingerprint)
 	return known && now.Sub(at) <= completedRetention
 }
--- a/poison/copies.go
+++ b/poison/copies.go
@@ -99,9 +99,10 @@
 		return
 	}
 	var running []*sharepb.Copy
+	suspected := suspectedKeys(suspects)
 	for request, e := range g.runs.activeIn(crashed.Group()) {
-		key := KeyOf(request)
-		if !slices.ContainsFunc(suspects, func(s Suspect) bool { return s.Key == key }) {
+		key, isCopy := copyOf(request, suspected)
+		if !isCopy {
 			continue
 		}
 		klog.InfoS("poison: copy of a suspect is running", "request", request.ID, "key", key.String(), "endpoint", e.ID, "crashed", crashed.ID)
@@ -113,6 +114,29 @@
 	}
 }
 
+// suspectedKeys returns the keys of the suspects of a crash and of their parts.
+func suspectedKeys(suspects []Suspect) map[Key]bool {
+	keys := map[Key]bool{}
+	for _, s := range suspects {
+		keys[s.Key] = true
+		for _, part := range s.Parts {
+			keys[part.Key] = true
+		}
+	}
+	return keys
+}
+
+// copyOf returns the key by which a request is a copy of a suspect: its own, or that of one of its parts.
+func copyOf(r *relay.Request, suspected map[Key]bool) (Key, bool) {
+	for _, part := range partKeys(r) {
+		if suspected[part] {
+			return part, true
+		}
+	}
+	key := KeyOf(r)
+	return key, suspected[key]
+}
+
 // receiveCopy records a copy that another VM announced.
 func (g *Guard) receiveCopy(message *sharepb.Copy) {
 	if key, ok := parseKey(message.Key); ok {
@@ -126,7 +150,7 @@
 	if !g.runs.isDown(e) || !g.inSmallGroup(e) {
 		return
 	}
-	if crashes, _ := g.ledger.Suspicion(KeyOf(r), OriginOf(r)); crashes == 0 {
+	if g.ledger.Suspicion(IdentityOf(r)).Crashes == 0 {
 		return
 	}
 	time.Sleep(g.cfg.PropagationDelay())
--- a/poison/copies_test.go
+++ b/poison/copies_test.go
@@ -44,13 +44,13 @@
 				here.Started(first, endpoints.Endpoint("e0"))
 				r.down["e0"] = true
 				started := time.Now()
-				here.Ended(first, endpoints.Endpoint("e0"), relay.RunEnd{Outcome: relay.RunInterrupted})
+				here.Ended(first, endpoints.Endpoint("e0"), relay.RunEnd{Outcome: relay.RunInterrupted})()
 				if waited, small := time.Since(started), tc.endpoints <= smallGroup; small != (waited >= 2*broadcastDelay) {
 					t.Errorf("the retry was held back for %v", waited)
 				}
 				time.Sleep(time.Millisecond)
 				if tc.completes {
-					there.Ended(second, endpoints.Endpoint("e1"), relay.RunEnd{Outcome: relay.RunCompleted})
+					there.Ended(second, endpoints.Endpoint("e1"), relay.RunEnd{Outcome: relay.RunCompleted})()
 					time.Sleep(2 * broadcastDelay)
 				}
 				suspicion, failed := here.Check(first)
@@ -66,6 +66,32 @@
 	}
 }
 
+// Guards against equal requests of which nothing is known that each crash an endpoint of their own, because a VM
+// learns of a new endpoint between two of them.
+func TestRunningCopiesOfUnknownRequestAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRegion(t, 2)
+		defer r.stopAll()
+		for i := range 3 {
+			r.vms["vm0"].cfg.Directory.Put(directory.Registration{ID: fmt.Sprint("e", i), StartedAt: 1, Service: "plain"})
+		}
+		here := r.vms["vm0"]
+		endpoints := here.cfg.Directory.Snapshot()
+		here.noteImpaired(endpoints.Endpoint("e0"))
+		for id, on := range map[string]string{"first": "e1", "other": "e2"} {
+			running := request("c", id, id)
+			running.Service = "plain"
+			here.Started(running, endpoints.Endpoint(on))
+		}
+		equal := request("c", "second", "first")
+		equal.Service = "plain"
+		suspicion, failed := here.Check(equal)
+		if failed != nil || !suspicion.Unknown || !slices.Equal(suspicion.CopiesOn, []string{"e1"}) {
+			t.Errorf("unknown=%t, copies on %v, want e1; refused with %v", suspicion.Unknown, suspicion.CopiesOn, failed)
+		}
+	})
+}
+
 // The memory for copies is bounded; the oldest are dropped.
 func TestCopyTrackerIsBounded(t *testing.T) {
 	c := newCopyTracker()
--- a/poison/evaluate.go
+++ b/poison/evaluate.go
@@ -32,6 +32,9 @@
 	if s.probation > 0 {
 		n = quarantineThreshold - 1
 	}
+	if k.Part {
+		return n + l.partScore(k, s)
+	}
 	for id := range s.crashes {
 		if c := l.crashes[id]; c != nil && !c.attributed && c.implicates(k) {
 			n++
@@ -48,7 +51,7 @@
 	if !present || streaming && !c.allStreaming() {
 		return false
 	}
-	return k.Origin != anyOrigin || c.soleCandidate(k.Key, streaming)
+	return k.Part || k.Origin != anyOrigin || c.soleCandidate(k.Key, streaming)
 }
 
 // allStreaming reports whether all requests on the endpoint had emitted events.
@@ -66,7 +69,7 @@
 func (c *crash) soleCandidate(k Key, streaming bool) bool {
 	others := map[Origin]bool{}
 	for s, streamed := range c.suspects {
-		if s.Key != k && streamed == streaming {
+		if !s.Part && s.Key != k && streamed == streaming {
 			others[s.Origin] = true
 		}
 	}
@@ -162,7 +165,7 @@
 	if s := l.suspects[e.Subject]; s != nil {
 		for id := range s.crashes {
 			if c := l.crashes[id]; c != nil {
-				c.attributed = true
+				c.attribute(e.Subject)
 			}
 		}
 		delete(l.suspects, e.Subject)
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -52,6 +52,8 @@
 	ledger *Ledger
 	copies *copyTracker
 	store  *QuarantineStore
+	// impaired holds the services of which an endpoint of a small group has crashed recently.
+	impaired impairedServices
 }
 
 var _ relay.Guard = (*Guard)(nil)
@@ -75,38 +77,50 @@
 func (g *Guard) Retain(s *directory.Snapshot) { g.runs.Retain(s) }
 
 // Check implements relay.Guard. It hashes the request only if the ledger holds a suspect or a
-// quarantine entry.
+// quarantine entry, or if the service is impaired.
 func (g *Guard) Check(r *relay.Request) (relay.Suspicion, *failure.Request) {
 	g.cfg.AwaitCatchUp()
-	if g.ledger.Empty() {
+	g.runs.AwaitEqualRuns(r)
+	impaired := g.impaired.contains(r.Service, g.now())
+	if g.ledger.Empty() && !impaired {
 		return relay.Suspicion{}, nil
 	}
-	key, origin := KeyOf(r), OriginOf(r)
-	if failed := g.refusal(r, key, origin); failed != nil {
+	id := IdentityOf(r)
+	if failed := g.refusal(r, id); failed != nil {
 		return relay.Suspicion{}, failed
 	}
-	g.ledger.RecordArrival(key, origin, r.ID)
-	crashes, bystander := g.ledger.Suspicion(key, origin)
-	if crashes == 0 && !bystander {
-		return relay.Suspicion{}, nil
+	if recurred := g.ledger.RecordArrival(id, r.ID); len(recurred) > 0 {
+		g.cfg.Broadcast(loadshare.Announcement{Recurred: recurred})
+	}
+	e := g.ledger.Suspicion(id)
+	if e.Crashes == 0 && !e.Bystander {
+		return g.unknown(r, id, impaired), nil
 	}
 	return relay.Suspicion{
-		Crashes: crashes, Bystander: bystander, Key: binary.BigEndian.Uint32(key[:]), Others: g.ledger.OthersSuspected(key),
-		CopiesOn: g.copies.on(key, g.cfg.Directory.Snapshot().Service(r.Service), g.now()),
+		Crashes: e.Crashes, Bystander: e.Bystander, Key: e.Key.placementKey(), Others: g.ledger.OthersSuspected(id),
+		CopiesOn: g.copies.on(e.Key, g.cfg.Directory.Snapshot().Service(r.Service), g.now()),
 	}, nil
 }
 
-// refusal returns the failure of a request that is quarantined or awaits an evaluation, or nil.
-func (g *Guard) refusal(r *relay.Request, key Key, origin Origin) *failure.Request {
-	switch g.ledger.Status(key, origin) {
-	case Quarantined:
-		klog.InfoS("poison: request refused, its earlier runs crashed endpoints", "request", r.ID, "key", key.String())
+// refusal returns the failure of a request that is quarantined or awaits an evaluation, itself or because of a
+// part of its prompt, or nil.
+func (g *Guard) refusal(r *relay.Request, id Identity) *failure.Request {
+	status, subject := g.ledger.Status(id)
+	switch {
+	case status == Quarantined && subject.Part:
+		klog.InfoS("poison: request refused, earlier requests with a part of its prompt crashed endpoints", "request", r.ID, "part", partID(r, subject), "key", subject.String())
+		return &failure.Request{
+			Code: failure.PartCrashesEndpoints, Ran: failure.NotRun,
+			Message: fmt.Sprintf("endpoints crashed at least %d times under requests with a part of this prompt, so it is not run", quarantineThreshold),
+		}
+	case status == Quarantined:
+		klog.InfoS("poison: request refused, its earlier runs crashed endpoints", "request", r.ID, "key", subject.Key.String())
 		return &failure.Request{
 			Code: failure.CrashesEndpoints, Ran: failure.NotRun,
 			Message: fmt.Sprintf("endpoints crashed at least %d times under this request, so it is not run again", quarantineThreshold),
 		}
-	case Suspected:
-		klog.InfoS("poison: request refused for now, suspected of crashing endpoints", "request", r.ID, "key", key.String())
+	case status == Suspected:
+		klog.InfoS("poison: request refused for now, suspected of crashing endpoints", "request", r.ID, "key", subject.String())
 		return &failure.Request{
 			Code: failure.CrashSuspected, Ran: failure.NotRun, RetryAfter: g.ledger.propagationDelay(),
 			Message: "endpoints crashed while this request was at work there, which is being looked into",
@@ -115,16 +129,49 @@
 	return nil
 }
 
+// partID returns the caller's ID of a part of a request's prompt.
+func partID(r *relay.Request, part Subject) string {
+	for i, key := range partKeys(r) {
+		if key == part.Key {
+			return r.Prompt.Shared()[i].ID
+		}
+	}
+	return ""
+}
+
 // Started implements relay.Guard.
 func (g *Guard) Started(r *relay.Request, e *directory.Endpoint) { g.runs.RecordStart(r, e) }
 
+// Answered implements relay.Guard.
+func (g *Guard) Answered(r *relay.Request) {
+	parts := partKeys(r)
+	if len(parts) == 0 {
+		return
+	}
+	g.runs.answered.add(parts, g.now())
+	if !g.ledger.Empty() {
+		g.clearParts(r, parts)
+	}
+}
+
 // Ended implements relay.Guard.
-func (g *Guard) Ended(r *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
-	g.runs.RecordEnd(r, e, end)
-	if end.Outcome == relay.RunInterrupted {
-		g.awaitCopies(r, e)
+func (g *Guard) Ended(r *relay.Request, e *directory.Endpoint, end relay.RunEnd) (await func()) {
+	awaitProbe := g.runs.RecordEnd(r, e, end)
+	switch end.Outcome {
+	case relay.RunInterrupted:
+		return func() {
+			awaitProbe()
+			g.awaitCopies(r, e)
+		}
+	case relay.RunCompleted:
+		g.clear(r)
 	}
-	if end.Outcome != relay.RunCompleted || g.ledger.Empty() {
+	return awaitProbe
+}
+
+// clear clears a request that had a complete response.
+func (g *Guard) clear(r *relay.Request) {
+	if g.ledger.Empty() {
 		return
 	}
 	key := KeyOf(r)
@@ -132,37 +179,48 @@
 	if len(cleared) == 0 {
 		return
 	}
-	g.copies.remove(key)
 	klog.InfoS("poison: request cleared by a complete response", "request", r.ID, "key", key.String())
+	g.withdraw(key, cleared)
+	g.cfg.Broadcast(loadshare.Announcement{Cleared: [][]byte{key[:]}})
+}
+
+// clearParts clears the parts of the prompt of a request that an endpoint answers.
+func (g *Guard) clearParts(r *relay.Request, parts []Key) {
+	message := &sharepb.AnsweredParts{Occasion: rand.Uint64()}
+	for i, part := range parts {
+		cleared := g.ledger.ClearPart(part)
+		if len(cleared) == 0 {
+			continue
+		}
+		klog.InfoS("poison: part cleared by an answer", "request", r.ID, "part", r.Prompt.Shared()[i].ID, "key", cleared[0].String())
+		g.withdraw(part, cleared)
+		message.Parts = append(message.Parts, part[:])
+	}
+	if len(message.Parts) > 0 {
+		g.cfg.Broadcast(loadshare.Announcement{Answered: []*sharepb.AnsweredParts{message}})
+	}
+}
+
+// withdraw removes what else is known of subjects that were cleared.
+func (g *Guard) withdraw(k Key, cleared []Subject) {
+	g.copies.remove(k)
 	for _, s := range cleared {
 		g.store.Remove(s)
 	}
-	g.cfg.Broadcast(loadshare.Announcement{Cleared: [][]byte{key[:]}})
 }
 
 // handleLocalCrash records a crash that this VM observed and announces it to the other VMs.
 func (g *Guard) handleLocalCrash(c Crash) {
-	message := &sharepb.Crash{Id: c.ID}
-	for _, s := range c.Suspects {
-		message.Suspects = append(message.Suspects, &sharepb.Suspect{Key: s.Key[:], Origin: uint32(s.Origin), Streaming: s.Streaming})
-		if len(message.Suspects) == maxSuspectsPerMessage {
-			g.cfg.Broadcast(loadshare.Announcement{Crashes: []*sharepb.Crash{message}})
-			message = &sharepb.Crash{Id: c.ID}
-		}
-	}
-	// A report without suspects still tells the other VMs that the endpoint is down.
-	if len(message.Suspects) > 0 || len(c.Suspects) == 0 {
+	for _, message := range crashMessages(c) {
 		g.cfg.Broadcast(loadshare.Announcement{Crashes: []*sharepb.Crash{message}})
 	}
 	g.evaluateAfter(g.ledger.RecordCrash(c), true)
 	if e := g.endpointOf(c.ID); e != nil {
+		g.noteImpaired(e)
 		g.announceCopies(e, c.Suspects)
 	}
 }
 
-// maxSuspectsPerMessage bounds one announcement to about a kilobyte, which fits a datagram.
-const maxSuspectsPerMessage = 48
-
 // Receive applies an announcement of another VM.
 func (g *Guard) Receive(n loadshare.Announcement) {
 	for _, c := range n.Crashes {
@@ -177,24 +235,53 @@
 			klog.V(1).InfoS("poison: request cleared by a complete response on another VM", "key", key.String())
 		}
 	}
+	for _, answered := range n.Answered {
+		g.receiveAnswered(answered)
+	}
+	for _, crash := range n.Recurred {
+		g.ledger.RecordRecurrence(crash)
+	}
+}
+
+// receiveAnswered clears parts on which engines wrote answers to requests of another VM.
+func (g *Guard) receiveAnswered(message *sharepb.AnsweredParts) {
+	for _, b := range message.Parts {
+		if part, ok := parseKey(b); ok && len(g.ledger.ClearPart(part)) > 0 {
+			g.copies.remove(part)
+			klog.V(1).InfoS("poison: part cleared by an answer on another VM", "key", part.String())
+		}
+	}
 }
 
 // receiveCrash records a crash that another VM observed. If the endpoint is registered here, its
 // runs on this VM become suspects too.
 func (g *Guard) receiveCrash(message *sharepb.Crash) {
-	c := Crash{ID: message.Id}
-	for _, s := range message.Suspects {
-		if key, ok := parseKey(s.Key); ok {
-			c.Suspects = append(c.Suspects, Suspect{Key: key, Origin: Origin(max(1, s.Origin)), Streaming: s.Streaming})
-		}
-	}
+	c := crashOf(message)
+	g.exonerateParts(message)
 	g.evaluateAfter(g.ledger.RecordCrash(c), false)
 	if e := g.endpointOf(c.ID); e != nil {
+		g.noteImpaired(e)
 		g.runs.RecordRemoteCrash(e)
 		g.announceCopies(e, c.Suspects)
 	}
 }
 
+// exonerateParts tells all VMs which parts of the suspects of a crash did not cause it, as far as answers to
+// requests of this VM show.
+func (g *Guard) exonerateParts(message *sharepb.Crash) {
+	exonerated := &sharepb.AnsweredParts{Occasion: message.Id}
+	for _, b := range message.Parts {
+		if part, ok := parseKey(b); ok && g.runs.answered.exonerate(part, g.now()) {
+			exonerated.Parts = append(exonerated.Parts, b)
+		}
+	}
+	if len(exonerated.Parts) == 0 {
+		return
+	}
+	g.cfg.Broadcast(loadshare.Announcement{Answered: []*sharepb.AnsweredParts{exonerated}})
+	g.receiveAnswered(exonerated)
+}
+
 // endpointOf returns the registered endpoint that a crash is of, or nil.
 func (g *Guard) endpointOf(crashID uint64) *directory.Endpoint {
 	for _, e := range g.cfg.Directory.Snapshot().All() {
@@ -216,7 +303,11 @@
 func (g *Guard) evaluate(local bool) {
 	for _, e := range g.ledger.Evaluate() {
 		entriesCreated.Inc()
-		klog.InfoS("poison: request quarantined, endpoints crashed while running it", "key", e.Subject.String(), "crashes", e.Crashes, "term", e.Term)
+		message := "poison: request quarantined, endpoints crashed while running it"
+		if e.Subject.Part {
+			message = "poison: part quarantined, endpoints crashed while running requests with it"
+		}
+		klog.InfoS(message, "key", e.Subject.String(), "crashes", e.Crashes, "term", e.Term)
 		g.store.Write(e, local)
 	}
 }
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -39,6 +39,10 @@
 // crashes attributed to it no longer count against the others. A complete response clears a
 // request.
 //
+// The parts of its prompt that other requests may share are suspects beside a request. A part is
+// quarantined for crashes under at least two different requests, since those under one request alone are
+// explained by that request. Parts have no origin: a harmful part is the same for all.
+//
 // A request is quarantined for all origins only for crashes at which no other request of the same
 // origin was suspect. Otherwise a caller could have another caller's request quarantined by sending
 // a copy of it together with a harmful request of its own. For that origin itself, all of its
@@ -67,8 +71,11 @@
 	// suspects maps the requests that were running on the endpoint to whether they had emitted
 	// events.
 	suspects map[Subject]bool
-	// attributed is set once one of the suspects is quarantined.
-	attributed bool
+	// carriers holds the keys of the requests that had each part in their prompts.
+	carriers map[Key][]Key
+	// attributed is set once one of the suspects is quarantined, attributedTo.
+	attributed   bool
+	attributedTo Subject
 	// repeated is set once one of the suspects has come again or was at work at another crash.
 	repeated bool
 }
@@ -76,7 +83,7 @@
 // suspect is a request that was running on endpoints that crashed.
 type suspect struct {
 	crashes map[uint64]bool
-	// request is the ID of the request on this VM, or empty.
+	// request is the ID of the request on this VM, or empty. Parts have none.
 	request string
 	// lastUpdate is the time of the last report or release.
 	lastUpdate time.Time
@@ -108,26 +115,21 @@
 	return len(l.suspects) == 0 && len(l.entries) == 0
 }
 
-// Status returns the status of a request.
-func (l *Ledger) Status(k Key, origin Origin) Status {
+// Status returns the status of a request and, unless that is Allowed, the subject that determines it.
+func (l *Ledger) Status(id Identity) (Status, Subject) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	status := Allowed
-	for _, subject := range subjectsOf(k, origin) {
+	status, determinedBy := Allowed, Subject{}
+	for _, subject := range id.subjects() {
 		switch s := l.suspects[subject]; {
 		case l.entries[subject] != nil:
-			return Quarantined
+			return Quarantined, subject
 		case s != nil && !s.evaluateAt.IsZero() && now.Before(s.evaluateAt):
-			status = Suspected
+			status, determinedBy = Suspected, subject
 		}
 	}
-	return status
-}
-
-// subjectsOf returns the subjects of a request: for any origin and for its own.
-func subjectsOf(k Key, origin Origin) []Subject {
-	return []Subject{{Key: k}, {Key: k, Origin: origin}}
+	return status, determinedBy
 }
 
 // IsQuarantined reports whether the ledger holds an entry for a subject.
@@ -146,7 +148,7 @@
 	l.prune(now)
 	recorded := l.crashes[c.ID]
 	if recorded == nil {
-		recorded = &crash{recordedAt: now, suspects: map[Subject]bool{}}
+		recorded = &crash{recordedAt: now, suspects: map[Subject]bool{}, carriers: map[Key][]Key{}}
 		l.crashes[c.ID] = recorded
 	}
 	for _, s := range c.Suspects {
@@ -156,28 +158,27 @@
 	return l.scheduleEvaluation(c, now)
 }
 
-// addSuspect records a request that was running on an endpoint that crashed. If the request is
-// quarantined, the crash is attributed to it instead. The caller holds mu.
+// addSuspect records a request that was running on an endpoint that crashed, and its parts. If one of
+// them is quarantined, the crash is attributed to it instead. The caller holds mu.
 func (l *Ledger) addSuspect(id uint64, c *crash, s Suspect, now time.Time) {
-	for _, subject := range subjectsOf(s.Key, s.Origin) {
+	subjects := s.identity().subjects()
+	for _, subject := range subjects {
 		if l.entries[subject] != nil {
-			c.attributed = true
+			c.attribute(subject)
 			return
 		}
 	}
-	for _, subject := range subjectsOf(s.Key, s.Origin) {
-		streaming, known := c.suspects[subject]
-		if !known && len(c.suspects) >= maxSubjectsPerCrash {
-			return
+	for _, subject := range subjects {
+		if !c.add(subject, s) {
+			continue
 		}
-		c.suspects[subject] = s.Streaming && (streaming || !known)
 		record := l.suspects[subject]
 		if record == nil {
 			record = &suspect{crashes: map[uint64]bool{}}
 			l.suspects[subject] = record
 		}
 		record.crashes[id], record.lastUpdate = true, now
-		if s.Request != "" {
+		if s.Request != "" && !subject.Part {
 			record.request = s.Request
 		}
 		if len(record.crashes) > 1 {
@@ -186,6 +187,30 @@
 	}
 }
 
+// add records that a subject of a request was present. It reports false if there are too many.
+func (c *crash) add(subject Subject, s Suspect) bool {
+	streaming, known := c.suspects[subject]
+	switch {
+	case known:
+	case subject.Part && len(c.carriers) >= maxPartsPerCrash:
+		return false
+	case !subject.Part && len(c.suspects)-len(c.carriers) >= maxSubjectsPerCrash:
+		return false
+	}
+	c.suspects[subject] = s.Streaming && (streaming || !known)
+	if subject.Part && !slices.Contains(c.carriers[subject.Key], s.Key) && len(c.carriers[subject.Key]) < maxCarriers {
+		c.carriers[subject.Key] = append(c.carriers[subject.Key], s.Key)
+	}
+	return true
+}
+
+// attribute records that a quarantined subject explains the crash.
+func (c *crash) attribute(s Subject) {
+	if !c.attributed {
+		c.attributed, c.attributedTo = true, s
+	}
+}
+
 // scheduleEvaluation sets the time of the evaluation for those suspects of a crash that reach the
 // threshold and have none scheduled. It returns the delay until then, or zero if there are none.
 // The caller holds mu.
@@ -193,7 +218,7 @@
 	delay := l.propagationDelay()
 	scheduled := false
 	for _, s := range c.Suspects {
-		for _, subject := range subjectsOf(s.Key, s.Origin) {
+		for _, subject := range s.identity().subjects() {
 			if record := l.suspects[subject]; record != nil && record.evaluateAt.IsZero() && l.score(subject) >= quarantineThreshold {
 				record.evaluateAt = now.Add(delay)
 				scheduled = true
@@ -222,27 +247,27 @@
 // with its key and returns their subjects. It returns nil and removes nothing if there is neither a
 // suspect nor an entry for the given origin or for any origin.
 func (l *Ledger) Clear(k Key, origin Origin) []Subject {
+	return l.clear(k, Subject{Key: k}, Subject{Key: k, Origin: origin})
+}
+
+// ClearPart records that an engine began to write an answer on a part of a prompt. It removes the suspect and the
+// entry of the part and returns their subject, or nil if there is neither.
+func (l *Ledger) ClearPart(k Key) []Subject { return l.clear(k, Subject{Key: k, Part: true}) }
+
+// clear removes all suspects and entries with a key if there is one for any of the subjects, and returns
+// the subjects removed.
+func (l *Ledger) clear(k Key, known ...Subject) []Subject {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := slices.ContainsFunc(subjectsOf(k, origin), func(s Subject) bool { return l.suspects[s] != nil || l.entries[s] != nil })
-	if !known {
+	if !slices.ContainsFunc(known, func(s Subject) bool { return l.suspects[s] != nil || l.entries[s] != nil }) {
 		return nil
 	}
 	var list []Subject
 	for s, record := range l.suspects {
-		if s.Key != k {
-			continue
-		}
-		for id := range record.crashes {
-			if c := l.crashes[id]; c != nil {
-				delete(c.suspects, s)
-				if len(c.suspects) == 0 && !c.attributed {
-					l.lastSpontaneous = l.now()
-				}
-			}
+		if s.Key == k {
+			l.withdraw(s, record)
+			list = append(list, s)
 		}
-		delete(l.suspects, s)
-		list = append(list, s)
 	}
 	for s := range l.entries {
 		if s.Key == k {
@@ -253,6 +278,25 @@
 	return list
 }
 
+// withdraw removes a suspect. A crash of which no request is suspected any more was spontaneous. The
+// caller holds mu.
+func (l *Ledger) withdraw(s Subject, record *suspect) {
+	for id := range record.crashes {
+		c := l.crashes[id]
+		if c == nil {
+			continue
+		}
+		delete(c.suspects, s)
+		if s.Part {
+			delete(c.carriers, s.Key)
+		}
+		if !s.Part && len(c.suspects) == len(c.carriers) && !c.attributed {
+			l.lastSpontaneous = l.now()
+		}
+	}
+	delete(l.suspects, s)
+}
+
 // Release removes an entry and puts its subject on probation. The request may run again, and its
 // next crash quarantines it once more, for twice as long.
 func (l *Ledger) Release(s Subject) {
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -140,7 +140,7 @@
 	l.recordAndEvaluate(1, "ka")
 	l.recordAndEvaluate(2, "kb")
 	l.RecordCrash(Crash{ID: 3, Suspects: suspectsNamed("kc")})
-	if got := l.Status(key("k"), 'k'); got != Suspected {
+	if got := statusOf(l, key("k"), 'k'); got != Suspected {
 		t.Errorf("status %d while the report propagates, want Suspected", got)
 	}
 	l.advance(propagationTime)
@@ -148,7 +148,7 @@
 		t.Fatalf("%q quarantined, want k", got)
 	}
 	for name, want := range map[string]Status{"k": Quarantined, "a": Allowed, "b": Allowed, "c": Allowed, "d": Allowed} {
-		if got := l.Status(key(name), Origin(name[0])); got != want {
+		if got := statusOf(l, key(name), Origin(name[0])); got != want {
 			t.Errorf("status of %s is %d, want %d", name, got, want)
 		}
 	}
@@ -174,7 +174,7 @@
 	if got := l.recordAndEvaluate(5, "a"); got != "a" {
 		t.Errorf("%q quarantined, want a", got)
 	}
-	if l.Clear(key("a"), 'a'); l.Status(key("a"), 'a') != Allowed {
+	if l.Clear(key("a"), 'a'); statusOf(l, key("a"), 'a') != Allowed {
 		t.Error("an entry remains after a complete response")
 	}
 	if len(l.Clear(key("z"), 'z')) != 0 {
@@ -200,7 +200,7 @@
 			t.Fatalf("expired entries %v after a term of %v", got, term)
 		}
 		l.Release(anyOriginSubject("k"))
-		if l.Status(key("k"), 'k') != Allowed {
+		if statusOf(l, key("k"), 'k') != Allowed {
 			t.Fatal("not allowed after its term")
 		}
 		if got := l.recordAndEvaluate(n, "k"); got != "k" {
@@ -228,8 +228,8 @@
 	if l.Add(Entry{Subject: anyOriginSubject("k"), Crashes: 3, Term: initialTerm}) {
 		t.Error("the same entry is reported as new again")
 	}
-	if got := l.recordAndEvaluate(3, "a"); got != "" || l.Status(key("k"), 'k') != Quarantined {
-		t.Errorf("%q quarantined, want none; status of k is %d", got, l.Status(key("k"), 'k'))
+	if got := l.recordAndEvaluate(3, "a"); got != "" || statusOf(l, key("k"), 'k') != Quarantined {
+		t.Errorf("%q quarantined, want none; status of k is %d", got, statusOf(l, key("k"), 'k'))
 	}
 }
 
@@ -333,7 +333,7 @@
 			}
 			for want, list := range map[Status][]string{Quarantined: tc.quarantined, Allowed: tc.allowed} {
 				for _, pair := range list {
-					if got := l.Status(key(pair[:1]), Origin(pair[1])); got != want {
+					if got := statusOf(l, key(pair[:1]), Origin(pair[1])); got != want {
 						t.Errorf("status of %s is %d, want %d", pair, got, want)
 					}
 				}
@@ -355,3 +355,11 @@
 		}
 	}
 }
+
+// statusOf returns the status of a request without parts.
+func statusOf(l interface {
+	Status(Identity) (Status, Subject)
+}, k Key, origin Origin) Status {
+	status, _ := l.Status(Identity{Key: k, Origin: origin})
+	return status
+}
--- a/poison/limits.go
+++ b/poison/limits.go
@@ -21,6 +21,10 @@
 	// maxSubjectsPerCrash bounds the subjects recorded for one crash. With two subjects per
 	// request, it suffices for more requests than an engine runs concurrently.
 	maxSubjectsPerCrash = 256
+	// maxPartsPerCrash and maxCarriers bound the parts recorded for one crash and the requests recorded
+	// for each of them.
+	maxPartsPerCrash = 64
+	maxCarriers      = 8
 )
 
 // prune removes crashes and suspects that are too old to count. The caller holds mu.
--- a/poison/metrics.go
+++ b/poison/metrics.go
@@ -23,8 +23,8 @@
 // maxLoggedSuspects bounds the suspects in one log line.
 const maxLoggedSuspects = 40
 
-// describe formats suspects for the log: the request ID and the subject of each, and a mark if it
-// had emitted events.
+// describe formats suspects for the log: the request ID and the subject of each, a mark if it had
+// emitted events, and in brackets the parts of its prompt that may be to blame.
 func describe(list []Suspect) string {
 	var b strings.Builder
 	for i, s := range list {
@@ -39,6 +39,9 @@
 		if s.Streaming {
 			b.WriteString("(streaming)")
 		}
+		for _, part := range s.Parts {
+			fmt.Fprintf(&b, "[%s=%s]", part.ID, Subject{Key: part.Key, Part: true})
+		}
 	}
 	return b.String()
 }
--- a/poison/region_test.go
+++ b/poison/region_test.go
@@ -190,8 +190,11 @@
 	delete(r.inFlight[e], run)
 	dead := v.dead
 	r.mu.Unlock()
-	if !dead {
-		v.Ended(request, e, relay.RunEnd{Outcome: outcome, Streaming: time.Since(started) > work/4})
+	if answered := time.Since(started) > work/4; !dead {
+		if answered {
+			v.Answered(request)
+		}
+		v.Ended(request, e, relay.RunEnd{Outcome: outcome, Streaming: answered, Answered: answered})()
 	}
 	return outcome
 }
@@ -353,3 +356,28 @@
 		}
 	})
 }
+
+// Guards against a VM that takes crashes to be spontaneous because the requests that were at work there have come
+// again at other VMs only: it would hold a request that has crashed an endpoint for innocent.
+func TestRepetitionAtOtherVMIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRegion(t, 3)
+		defer r.stopAll()
+		r.addPoison("first")
+		r.addPoison("second")
+		endpoints := r.endpoints(2)
+		r.run(r.vms["vm0"], request("1.2.3.4", "a", "first"), endpoints[0], time.Second)
+		time.Sleep(100 * time.Millisecond)
+		if s, _ := r.vms["vm0"].Check(request("1.2.3.4", "a again", "first")); s.Crashes != 1 {
+			t.Fatalf("suspicion %+v against the repetition of a suspect", s)
+		}
+		time.Sleep(2 * repeatWait)
+		r.run(r.vms["vm1"], request("1.2.3.4", "b", "second"), endpoints[1], time.Second)
+		time.Sleep(100 * time.Millisecond)
+		for name, v := range r.vms {
+			if s, _ := v.Check(request("1.2.3.4", "b again", "second")); s.Crashes != 1 || s.Bystander {
+				t.Errorf("%s: suspicion %+v against a request that has crashed an endpoint", name, s)
+			}
+		}
+	})
+}
--- a/poison/runs.go
+++ b/poison/runs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,19 +16,10 @@
 )
 
 const (
-	// probeTimeout bounds the probe of whether an endpoint still accepts connections. An endpoint
-	// that does not respond is unresponsive, which is no proof of a crash.
-	probeTimeout = 200 * time.Millisecond
 	// runRetention is how long a failed run remains a potential suspect of its endpoint's crash:
 	// its connection may break before those of the other runs, and an engine may still process a
 	// request that this VM has abandoned.
 	runRetention = 2 * time.Second
-	// probeWait is how long an interrupted run waits for the probe of its endpoint, so that it is
-	// not placed again before the result is known: several round trips, and the delays of a busy VM. Without
-	// the wait, a request whose third endpoint had crashed was sent to a fourth one. refusedProbeWait is how
-	// long it waits once the endpoint has refused a connection of this VM: other VMs are asked then.
-	probeWait        = 50 * time.Millisecond
-	refusedProbeWait = 150 * time.Millisecond
 	// maxEndedRuns bounds the runs retained for one endpoint. It exceeds the capacity of the
 	// endpoint's slots and queue.
 	maxEndedRuns = 256
@@ -43,6 +35,24 @@
 	// Streaming is set if the request had emitted events, on this endpoint or another. A harmful
 	// request usually crashes its endpoint as it begins, so a streaming request is less suspect.
 	Streaming bool
+	// Parts are the parts of its prompt that may be to blame: those that other requests may share and that no
+	// recent answer exonerates.
+	Parts []SuspectPart
+}
+
+// SuspectPart is a part of a prompt.
+type SuspectPart struct {
+	Key Key
+	// ID is the caller's ID of the part, for the log; empty if another VM reported it.
+	ID string
+}
+
+func (s Suspect) identity() Identity {
+	id := Identity{Key: s.Key, Origin: s.Origin}
+	for _, part := range s.Parts {
+		id.Parts = append(id.Parts, part.Key)
+	}
+	return id
 }
 
 // Crash is one VM's report of an endpoint crash.
@@ -78,8 +88,19 @@
 	mu            sync.Mutex
 	byIncarnation map[string]*endpointState
 	completed     *completedRequests
-	// active holds the runs in progress, by their endpoints.
-	active map[*relay.Request]*directory.Endpoint
+	answered      *answeredParts
+	// active holds the runs in progress.
+	active map[*relay.Request]runInProgress
+	// lastDownAt is when an endpoint was last found down.
+	lastDownAt time.Time
+	// probed holds the probes in progress and the states of their endpoints.
+	probed map[*probe]*endpointState
+}
+
+// runInProgress is a run that has not ended.
+type runInProgress struct {
+	endpoint  *directory.Endpoint
+	startedAt time.Time
 }
 
 // endpointState is the state of one incarnation of an endpoint.
@@ -91,6 +112,15 @@
 	downAt time.Time
 	// ended are the runs that ended without a complete response, oldest first.
 	ended []endedRun
+	// reports are the reports of such runs as suspects that have not ended.
+	reports []*crashReport
+}
+
+// crashReport is a report of the suspects of a crash in progress.
+type crashReport struct {
+	runs []endedRun
+	// done is closed at the end.
+	done chan struct{}
 }
 
 // endedRun is a run that ended without a complete response. Interrupted and abandoned runs count
@@ -98,7 +128,9 @@
 type endedRun struct {
 	request   *relay.Request
 	streaming bool
-	at        time.Time
+	// answered is set if the endpoint had begun to write an answer.
+	answered bool
+	at       time.Time
 }
 
 // NewRunTracker returns a tracker without any runs.
@@ -107,7 +139,7 @@
 	if cfg.OnDown == nil {
 		cfg.OnDown = func(*directory.Endpoint) {}
 	}
-	return &RunTracker{cfg: cfg, byIncarnation: map[string]*endpointState{}, completed: newCompletedRequests(rand.Uint64()), active: map[*relay.Request]*directory.Endpoint{}}
+	return &RunTracker{cfg: cfg, byIncarnation: map[string]*endpointState{}, completed: newCompletedRequests(rand.Uint64()), answered: newAnsweredParts(), active: map[*relay.Request]runInProgress{}, probed: map[*probe]*endpointState{}}
 }
 
 // CrashID returns the ID for the crash of an incarnation of an endpoint. It is the same on all VMs.
@@ -115,9 +147,10 @@
 
 // RecordStart records that a run is about to be sent.
 func (r *RunTracker) RecordStart(request *relay.Request, e *directory.Endpoint) {
+	run := runInProgress{endpoint: e, startedAt: r.cfg.Now()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.active[request] = e
+	r.active[request] = run
 }
 
 // activeIn returns the runs in progress in a group of endpoints.
@@ -125,9 +158,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := map[*relay.Request]*directory.Endpoint{}
-	for request, e := range r.active {
-		if e.Group() == g {
-			runs[request] = e
+	for request, run := range r.active {
+		if run.endpoint.Group() == g {
+			runs[request] = run.endpoint
 		}
 	}
 	return runs
@@ -141,39 +174,39 @@
 	return s != nil && s.down(r.cfg.Now())
 }
 
-// RecordEnd records the end of a run. If the run was interrupted, it returns once the endpoint has
-// been probed, or after the time that probe.await allows.
-func (r *RunTracker) RecordEnd(request *relay.Request, e *directory.Endpoint, end relay.RunEnd) {
+// RecordEnd records the end of a run. If the run was interrupted, the endpoint is probed, and await returns once
+// it has been, or after the time that probe.await allows.
+func (r *RunTracker) RecordEnd(request *relay.Request, e *directory.Endpoint, end relay.RunEnd) (await func()) {
 	now := r.cfg.Now()
-	r.removeActive(request)
+	defer r.removeActive(request) // once it is known as a suspect
 	switch end.Outcome {
 	case relay.RunRefused, relay.RunPrefilled:
-		return
+		return noWait
+	case relay.RunUnreached:
+		return r.recordUnreached(request, e, now)
 	case relay.RunCompleted:
 		r.recordCompleted(request, now)
-		return
+		return noWait
 	}
-	run := endedRun{request: request, streaming: end.Streaming, at: now}
+	run := endedRun{request: request, streaming: end.Streaming, answered: end.Answered, at: now}
 	r.mu.Lock()
 	s := r.state(e, now)
 	if s.down(now) {
 		r.mu.Unlock()
 		r.report(e, []endedRun{run})
-		return
+		return noWait
 	}
 	s.ended = append(s.ended, run)
 	s.ended = s.ended[max(0, len(s.ended)-maxEndedRuns):]
-	if end.Outcome == relay.RunInterrupted && s.probe == nil {
-		s.probe = newProbe()
-		go r.runProbe(e, s.probe)
-	}
-	p := s.probe
-	r.mu.Unlock()
-	if end.Outcome == relay.RunInterrupted {
-		p.await()
+	defer r.mu.Unlock()
+	if end.Outcome != relay.RunInterrupted {
+		return noWait
 	}
+	return r.startProbe(s).await
 }
 
+func noWait() {}
+
 func (r *RunTracker) removeActive(request *relay.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -195,33 +228,6 @@
 	return r.completed.contains(fingerprint, r.cfg.Now())
 }
 
-// probe is a probe in progress of whether an endpoint is down.
-type probe struct {
-	// refused is closed once the endpoint has refused a connection of this VM, and done at the end.
-	refused, done chan struct{}
-}
-
-func newProbe() *probe { return &probe{refused: make(chan struct{}), done: make(chan struct{})} }
-
-// await waits until the probe ends, for at most probeWait, or refusedProbeWait once the endpoint has refused a
-// connection.
-func (p *probe) await() {
-	timer := time.NewTimer(probeWait)
-	defer timer.Stop()
-	select {
-	case <-p.done:
-		return
-	case <-timer.C:
-		return
-	case <-p.refused:
-	}
-	timer.Reset(refusedProbeWait)
-	select {
-	case <-p.done:
-	case <-timer.C:
-	}
-}
-
 // down reports whether the endpoint was found down within runRetention. An endpoint that registers
 // no start time may have restarted by then under the same incarnation.
 func (s *endpointState) down(now time.Time) bool {
@@ -231,39 +237,40 @@
 // RecordRemoteCrash records that another VM found an endpoint down.
 func (r *RunTracker) RecordRemoteCrash(e *directory.Endpoint) { r.markDown(e) }
 
-// runProbe checks whether an endpoint is down.
-func (r *RunTracker) runProbe(e *directory.Endpoint, p *probe) {
-	defer close(p.done)
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	if r.cfg.Down(ctx, e, sync.OnceFunc(func() { close(p.refused) })) {
-		r.markDown(e)
-		return
-	}
-	klog.InfoS("poison: run interrupted, its endpoint still accepts connections or does not respond", "endpoint", e.ID, "crash", CrashID(e))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s := r.byIncarnation[e.Incarnation()]; s != nil {
-		s.probe = nil
-	}
-}
-
 // markDown marks an endpoint as down and reports the runs that were on it. OnDown is called first,
-// so that no request is sent there because of the report.
+// so that no request is sent there because of the report. It returns once all reports of the endpoint's runs
+// have ended, also those that others have begun: a run may be placed again then.
 func (r *RunTracker) markDown(e *directory.Endpoint) {
 	now := r.cfg.Now()
 	r.mu.Lock()
 	s := r.state(e, now)
-	s.probe, s.downAt = nil, now
-	runs := s.ended
-	s.ended = nil
+	s.downAt, r.lastDownAt = now, now
+	begun := slices.Clone(s.reports)
+	var report *crashReport
+	if len(s.ended) > 0 {
+		report = &crashReport{runs: s.ended, done: make(chan struct{})}
+		s.reports = append(s.reports, report)
+		s.ended = nil
+	}
 	r.mu.Unlock()
 	r.cfg.OnDown(e)
-	if len(runs) > 0 {
-		r.report(e, runs)
+	if report != nil {
+		r.report(e, report.runs)
+		r.endReport(s, report)
+	}
+	for _, other := range begun {
+		<-other.done
 	}
 }
 
+// endReport removes a report once its suspects are known.
+func (r *RunTracker) endReport(s *endpointState, report *crashReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.reports = slices.DeleteFunc(s.reports, func(other *crashReport) bool { return other == report })
+	close(report.done)
+}
+
 // report reports a crash with its suspects; there may be none. Keys are computed only here: hashing each request's
 // body would burden all requests for the sake of a few.
 func (r *RunTracker) report(e *directory.Endpoint, runs []endedRun) {
@@ -272,13 +279,30 @@
 		if r.exonerated(run.request) {
 			continue
 		}
-		crash.Suspects = append(crash.Suspects, Suspect{Key: KeyOf(run.request), Origin: OriginOf(run.request), Request: run.request.ID, Streaming: run.streaming})
+		crash.Suspects = append(crash.Suspects, Suspect{
+			Key: KeyOf(run.request), Origin: OriginOf(run.request), Request: run.request.ID, Streaming: run.streaming, Parts: r.suspectParts(run),
+		})
 	}
 	crashesReported.Inc()
 	klog.InfoS("poison: endpoint crashed", "endpoint", e.ID, "born", e.StartedAt, "service", e.Service, "crash", crash.ID, "suspects", describe(crash.Suspects))
 	r.cfg.OnCrash(crash)
 }
 
+// suspectParts returns the parts of a run's prompt that may have caused a crash: none once the endpoint has
+// begun to write an answer on them.
+func (r *RunTracker) suspectParts(run endedRun) []SuspectPart {
+	if run.answered {
+		return nil
+	}
+	var list []SuspectPart
+	for i, key := range partKeys(run.request) {
+		if !r.answered.exonerate(key, r.cfg.Now()) {
+			list = append(list, SuspectPart{Key: key, ID: run.request.Prompt.Shared()[i].ID})
+		}
+	}
+	return list
+}
+
 // state returns the state of an endpoint's incarnation, without the runs older than runRetention,
 // and creates it if there is none. The caller holds mu.
 func (r *RunTracker) state(e *directory.Endpoint, now time.Time) *endpointState {
--- a/poison/runs_test.go
+++ b/poison/runs_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +33,10 @@
 	// refusedAfter is when the endpoint refuses a connection of this VM; zero if it does not. The probe takes
 	// probeTime more.
 	refusedAfter time.Duration
-	probes       int
-	suspects     []string
+
+	mu       sync.Mutex
+	probes   int
+	suspects []string
 }
 
 func newTestTracker() *testTracker {
@@ -40,7 +44,9 @@
 	tracker.RunTracker = NewRunTracker(RunTrackerConfig{
 		Now: time.Now,
 		Down: func(_ context.Context, e *directory.Endpoint, refused func()) bool {
+			tracker.mu.Lock()
 			tracker.probes++
+			tracker.mu.Unlock()
 			if tracker.refusedAfter > 0 {
 				time.Sleep(tracker.refusedAfter)
 				refused()
@@ -49,6 +55,8 @@
 			return tracker.down[e.ID]
 		},
 		OnCrash: func(c Crash) {
+			tracker.mu.Lock()
+			defer tracker.mu.Unlock()
 			for _, s := range c.Suspects {
 				tracker.suspects = append(tracker.suspects, fmt.Sprintf("%s streaming=%v", s.Request, s.Streaming))
 			}
@@ -94,7 +102,7 @@
 				tracker.down["e"] = tc.down
 				for _, end := range tc.ends {
 					time.Sleep(end.after)
-					tracker.RecordEnd(request("caller", end.request, end.request), e, end.RunEnd)
+					tracker.RecordEnd(request("caller", end.request, end.request), e, end.RunEnd)()
 				}
 				time.Sleep(time.Second)
 				if diff := cmp.Diff(tc.want, tracker.suspects); diff != "" {
@@ -126,7 +134,7 @@
 				tracker := newTestTracker()
 				tracker.probeTime, tracker.refusedAfter, tracker.down["e"] = tc.probeTime, tc.refusedAfter, true
 				start := time.Now()
-				tracker.RecordEnd(request("caller", "a", "a"), endpoint("e"), relay.RunEnd{Outcome: relay.RunInterrupted})
+				tracker.RecordEnd(request("caller", "a", "a"), endpoint("e"), relay.RunEnd{Outcome: relay.RunInterrupted})()
 				if waited := time.Since(start); waited != tc.want {
 					t.Errorf("the run waited for %v, want %v", waited, tc.want)
 				}
@@ -136,23 +144,110 @@
 	}
 }
 
+// Guards against a copy of a request that is placed again, because its endpoint was ejected as it crashed, before it
+// is known that the request has crashed it.
+func TestCopyWaitsForVerdictOnEqualRun(t *testing.T) {
+	const probeTime, breaksAfter = 20 * time.Millisecond, 3 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		// body is that of the other request, which is still running if active is set.
+		body   string
+		active bool
+		want   time.Duration
+	}{
+		{"an equal run was interrupted", "a", false, probeTime},
+		{"an equal run is about to be", "a", true, probeTime + breaksAfter},
+		{"another run was interrupted", "b", false, 0},
+		{"another run is about to be", "b", true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := newTestTracker()
+				tracker.probeTime, tracker.down["e"] = probeTime, true
+				other := request("caller", "other", tc.body)
+				interrupted := other
+				if tc.active {
+					interrupted = request("caller", "interrupted", "c")
+					tracker.RecordStart(other, endpoint("e"))
+					time.AfterFunc(probeTime+breaksAfter, func() { tracker.RecordEnd(other, endpoint("e"), relay.RunEnd{Outcome: relay.RunInterrupted}) })
+				}
+				tracker.RecordEnd(interrupted, endpoint("e"), relay.RunEnd{Outcome: relay.RunInterrupted})
+				copied := request("caller", "copy", "a")
+				tracker.RecordStart(copied, endpoint("e"))
+				start := time.Now()
+				tracker.AwaitEqualRuns(copied)
+				if waited := time.Since(start); waited < tc.want || waited > tc.want+verdictInterval {
+					t.Errorf("the copy waited for %v, want %v and at most %v more", waited, tc.want, verdictInterval)
+				}
+				time.Sleep(time.Second)
+				start = time.Now()
+				tracker.AwaitEqualRuns(copied)
+				if waited := time.Since(start); waited != 0 {
+					t.Errorf("after the probe the copy waited for %v", waited)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a copy of a common request that waits for one endpoint after the other of a zone that is cut off.
+func TestCopyWaitsOnceForSeveralEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTestTracker()
+		tracker.probeTime = 190 * time.Millisecond // the connections hang
+		for i := range 5 {
+			tracker.RecordEnd(request("caller", fmt.Sprint("other", i), "a"), endpoint(fmt.Sprint("e", i)), relay.RunEnd{Outcome: relay.RunInterrupted})
+		}
+		start := time.Now()
+		tracker.AwaitEqualRuns(request("caller", "copy", "a"))
+		if waited := time.Since(start); waited != probeWait {
+			t.Errorf("the copy waited for %v, want %v", waited, probeWait)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // A run that this VM abandoned on an endpoint whose crash another VM observed is a suspect too.
 func TestCrashReportedByAnotherVM(t *testing.T) {
 	tracker := newTestTracker()
 	e := endpoint("e")
-	tracker.RecordEnd(request("caller", "a", "a"), e, relay.RunEnd{Outcome: relay.RunAbandoned})
+	tracker.RecordEnd(request("caller", "a", "a"), e, relay.RunEnd{Outcome: relay.RunAbandoned})()
 	tracker.RecordRemoteCrash(e)
 	if diff := cmp.Diff([]string{"a streaming=false"}, tracker.suspects); diff != "" {
 		t.Errorf("suspects (-want +got):\n%s", diff)
 	}
 }
 
+// Guards against a run that is placed again before it is known as a suspect: another VM's report of the crash
+// arrives while the endpoint is probed, and the probe ends while the runs are still being reported for it.
+func TestInterruptedRunIsKnownAsSuspectBeforeItsRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reporting = 30 * time.Millisecond
+		tracker := newTestTracker()
+		e := endpoint("e")
+		tracker.down["e"] = true
+		tracker.probeTime = 5 * time.Millisecond
+		onCrash := tracker.cfg.OnCrash
+		tracker.cfg.OnCrash = func(c Crash) {
+			time.Sleep(reporting)
+			onCrash(c)
+		}
+		await := tracker.RecordEnd(request("caller", "a", "a"), e, relay.RunEnd{Outcome: relay.RunInterrupted})
+		go tracker.RecordRemoteCrash(e)
+		await()
+		if want := []string{"a streaming=false"}; !slices.Equal(tracker.suspects, want) {
+			t.Errorf("suspects %v as the run is placed again, want %v", tracker.suspects, want)
+		}
+		time.Sleep(2 * reporting)
+	})
+}
+
 // The state of deregistered endpoints is removed.
 func TestRetainRemovesDeregisteredEndpoints(t *testing.T) {
 	tracker := newTestTracker()
 	d := directory.New(nil)
 	for i := range 100 {
-		tracker.RecordEnd(request("caller", "a", "a"), endpoint(fmt.Sprint("e", i)), relay.RunEnd{Outcome: relay.RunAbandoned})
+		tracker.RecordEnd(request("caller", "a", "a"), endpoint(fmt.Sprint("e", i)), relay.RunEnd{Outcome: relay.RunAbandoned})()
 	}
 	d.Put(endpoint("e7").Registration)
 	tracker.Retain(d.Snapshot())
--- a/poison/suspicion_test.go
+++ b/poison/suspicion_test.go
@@ -15,7 +15,7 @@
 
 // suspicionOf returns the crashes that a named request is suspected of, from its own origin.
 func (l *testLedger) suspicionOf(name string) int {
-	crashes, _ := l.Suspicion(key(name), Origin(name[0]))
+	crashes := l.Suspicion(Identity{Key: key(name), Origin: Origin(name[0])}).Crashes
 	return crashes
 }
 
@@ -92,11 +92,12 @@
 				l.RecordCrash(Crash{ID: 2, Suspects: suspectsNamed("a")})
 			}
 			if tc.arrival != "" {
-				l.RecordArrival(key("a"), 'a', tc.arrival)
+				l.RecordArrival(Identity{Key: key("a"), Origin: 'a'}, tc.arrival)
 			}
 			l.advance(tc.wait)
 			l.RecordCrash(Crash{ID: 3, Suspects: suspectsNamed("b")})
-			got, bystander := l.Suspicion(key("b"), 'b')
+			e := l.Suspicion(Identity{Key: key("b"), Origin: 'b'})
+			got, bystander := e.Crashes, e.Bystander
 			if got != tc.want || bystander != (tc.want == 0) {
 				t.Errorf("suspected of %d crashes, want %d; bystander: %t", got, tc.want, bystander)
 			}
@@ -146,7 +147,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l := ledgerOf(tc.crashes, "")
-			if _, got := l.Suspicion(key("a"), 'a'); got != tc.want {
+			if got := l.Suspicion(Identity{Key: key("a"), Origin: 'a'}).Bystander; got != tc.want {
 				t.Errorf("bystander: %t", got)
 			}
 		})
@@ -168,7 +169,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l := ledgerOf(tc.crashes, tc.cleared)
-			if got := l.OthersSuspected(key("a")); got != tc.want {
+			if got := l.OthersSuspected(Identity{Key: key("a")}); got != tc.want {
 				t.Errorf("others suspected: %t", got)
 			}
 		})
@@ -181,10 +182,10 @@
 	victim, harmful := key("victim"), key("harmful")
 	l := newTestLedger()
 	l.RecordCrash(Crash{ID: 1, Suspects: []Suspect{{Key: victim, Origin: 7}, {Key: harmful, Origin: 7}}})
-	if got, _ := l.Suspicion(victim, 8); got != 0 {
+	if got := l.Suspicion(Identity{Key: victim, Origin: 8}).Crashes; got != 0 {
 		t.Errorf("suspected of %d crashes from another origin", got)
 	}
-	if got, _ := l.Suspicion(victim, 7); got != 1 {
+	if got := l.Suspicion(Identity{Key: victim, Origin: 7}).Crashes; got != 1 {
 		t.Errorf("suspected of %d crashes from the origin of the copy", got)
 	}
 }
@@ -208,9 +209,9 @@
 				Down: func(context.Context, *directory.Endpoint, func()) bool { return true },
 			})
 			e := endpoint("e")
-			r.RecordEnd(request("caller", "first", "body"), e, relay.RunEnd{Outcome: relay.RunCompleted})
+			r.RecordEnd(request("caller", "first", "body"), e, relay.RunEnd{Outcome: relay.RunCompleted})()
 			now = now.Add(tc.age)
-			r.RecordEnd(request("caller", "second", "body"), e, relay.RunEnd{Outcome: relay.RunAbandoned})
+			r.RecordEnd(request("caller", "second", "body"), e, relay.RunEnd{Outcome: relay.RunAbandoned})()
 			r.RecordRemoteCrash(e)
 			if len(crashes) != 1 || len(crashes[0].Suspects) != tc.want {
 				t.Errorf("reported %+v, want one crash with %d suspects", crashes, tc.want)
@@ -229,8 +230,8 @@
 	for i := range maxCompleted - 1 {
 		c.add(c.fingerprint(request("c", "3", fmt.Sprint("other ", i))), now)
 	}
-	if len(c.at) != maxCompleted || len(c.order) != maxCompleted {
-		t.Errorf("%d fingerprints in a list of %d", len(c.at), len(c.order))
+	if len(c.at.values) != maxCompleted || len(c.at.order) != maxCompleted {
+		t.Errorf("%d fingerprints in a list of %d", len(c.at.values), len(c.at.order))
 	}
 	if c.contains(first, now) || !c.contains(second, now) {
 		t.Error("another fingerprint than the oldest was dropped")
@@ -255,6 +256,6 @@
 	}
 	k := key("a")
 	for b.Loop() {
-		l.Suspicion(k, 'a')
+		l.Suspicion(Identity{Key: k, Origin: 'a'})
 	}
 }
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -37,18 +37,21 @@
 	dog.Stop()
 	j.collect(next)
 	if j.withdrawn != nil {
+		await := j.reportEnd(ctx, plan.Prefill, j.withdrawn, false)
 		plan.Watch.Prefilled(j.withdrawn, true)
-		j.reportEnd(ctx, plan.Prefill, j.withdrawn)
+		await()
 		return j.withdrawn
 	}
-	plan.Watch.Prefilled(verdict(ctx, failed, next.silence))
 	if failed != nil {
-		j.reportEnd(ctx, plan.Prefill, failed)
+		await := j.reportEnd(ctx, plan.Prefill, failed, false)
+		plan.Watch.Prefilled(verdict(ctx, failed, next.silence))
+		await()
 		j.countAttempt(failed)
 		j.recordTried(plan.Prefill, failed)
 		return prefillFailure(failed)
 	}
-	j.relay.cfg.Guard.Ended(j.req, plan.Prefill, RunEnd{Outcome: RunPrefilled})
+	plan.Watch.Prefilled(verdict(ctx, nil, next.silence))
+	j.relay.cfg.Guard.Ended(j.req, plan.Prefill, RunEnd{Outcome: RunPrefilled})()
 	j.handle, j.prefilled = handle, true
 	j.discardNext()
 	klog.InfoS("relay: prompt prefilled", "request", j.req.ID, "endpoint", plan.Prefill.ID, "tookMS", clock.Since(start).Milliseconds(), "tokens", handle.Tokens)
--- a/relay/recheck_test.go
+++ b/relay/recheck_test.go
@@ -166,8 +166,9 @@
 }
 
 func (s *scheduledRouter) Started(*Request, *directory.Endpoint) {}
+func (s *scheduledRouter) Answered(*Request)                     {}
 
-func (s *scheduledRouter) Ended(*Request, *directory.Endpoint, RunEnd) {}
+func (s *scheduledRouter) Ended(*Request, *directory.Endpoint, RunEnd) func() { return func() {} }
 
 // lazyRouter creates its scheduledRouter on first use, so that the schedule starts with the
 // request.
@@ -187,8 +188,9 @@
 func (l *lazyRouter) Admit(r *Request) *failure.Request              { return l.get().Admit(r) }
 func (l *lazyRouter) Check(r *Request) (Suspicion, *failure.Request) { return l.get().Check(r) }
 func (l *lazyRouter) Started(*Request, *directory.Endpoint)          {}
+func (l *lazyRouter) Answered(*Request)                              {}
 
-func (l *lazyRouter) Ended(r *Request, e *directory.Endpoint, end RunEnd) {}
+func (l *lazyRouter) Ended(r *Request, e *directory.Endpoint, end RunEnd) func() { return func() {} }
 
 // A condition that ends a delayed request ends it before anything more is sent, and the failure
 // states that the request has not run.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -210,14 +210,19 @@
 	failed := j.send(ctx, a, plan)
 	j.resolveSend(failed)
 	if j.withdrawn != nil {
+		await := j.reportEnd(ctx, plan.Serve, j.withdrawn, false)
 		plan.Watch.Finished(nil, true)
-		j.reportEnd(ctx, plan.Serve, j.withdrawn)
+		await()
 		return j.withdrawn
 	}
 	if j.current != nil {
 		return j.endStream(ctx, j.current, failed)
 	}
-	j.endAttempt(ctx, plan, failed, j.silence)
+	answered := failed == nil && j.result.Status/100 == 2
+	if answered {
+		j.relay.cfg.Guard.Answered(j.req)
+	}
+	j.endAttempt(ctx, plan, failed, j.silence, answered)
 	j.countEnd(failed, j.resumeHandle != nil)
 	j.resumeHandle = nil
 	return failed
@@ -233,7 +238,7 @@
 		return failed
 	}
 	j.resumeHandle = nil
-	j.endAttempt(ctx, s.plan, failed, s.silence)
+	j.endAttempt(ctx, s.plan, failed, s.silence, s.begun)
 	return failed
 }
 
@@ -246,10 +251,12 @@
 	j.countAttempt(failed)
 }
 
-// endAttempt reports the end of an attempt, whose endpoint had been silent for some time.
-func (j *job) endAttempt(ctx context.Context, plan Plan, failed *failure.Request, silence time.Duration) {
+// endAttempt reports the end of an attempt, whose endpoint had been silent for some time and had written a
+// part of an answer or not.
+func (j *job) endAttempt(ctx context.Context, plan Plan, failed *failure.Request, silence time.Duration, answered bool) {
+	await := j.reportEnd(ctx, plan.Serve, failed, answered)
 	plan.Watch.Finished(verdict(ctx, failed, silence))
-	j.reportEnd(ctx, plan.Serve, failed)
+	await()
 	j.backup = plan.Backup
 	if failed != nil {
 		j.recordTried(plan.Serve, failed)
--- a/relay/response.go
+++ b/relay/response.go
@@ -209,6 +209,7 @@
 	s.begun = true
 	s.plan.Watch.FirstEvent()
 	j.recordStart()
+	j.relay.cfg.Guard.Answered(j.req)
 }
 
 // callerDisconnected returns the failure of a request whose caller could not be written to.
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -217,11 +217,12 @@
 // replacement. It may be called from any goroutine.
 func (j *job) releaser(ctx context.Context, s *openStream) func() {
 	req, guard, plan, heardAt := j.req, j.relay.cfg.Guard, s.plan, s.heardAt
-	streaming := j.streaming()
+	streaming, answered := j.streaming(), s.begun
 	return func() {
 		failed := stalled(clock.Since(heardAt))
+		await := guard.Ended(req, plan.Serve, RunEnd{Outcome: runOutcome(ctx, failed), Streaming: streaming, Answered: answered})
 		plan.Watch.Finished(failed, isAbandoned(ctx, failed))
-		guard.Ended(req, plan.Serve, RunEnd{Outcome: runOutcome(ctx, failed), Streaming: streaming})
+		await()
 	}
 }
 
