placement: all suspects leave one and the same endpoint of a group, and unknown requests share one

Cause: suspects that had been at every known crash chose by a hash of their own, the others by a common one; a request of which nothing is known took any endpoint, also at its second try. Ruled out: VMs that know different replacements, by a unit test.

Files and tests are split by concept.

--- a/placement/blocked.go
+++ b/placement/blocked.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/relay"
@@ -53,7 +51,7 @@
 		return noEndpoint(message, d.p.tuning.ComeBack)
 	}
 	retryAfter := d.retryAfter()
-	klog.InfoS("placement: refused, endpoints are rate-limited or backing off", "request", d.req.ID, "service", d.req.Service, "try", d.prior.Number,
+	d.logRefusal("placement: refused, endpoints are rate-limited or backing off", "request", d.req.ID, "service", d.req.Service, "try", d.prior.Number,
 		"blocked", d.numBlocked, "freeInMS", d.unblockedAfter.Milliseconds(), "retryAfterMS", retryAfter.Milliseconds())
 	return &failure.Request{Code: failure.EndpointsLimited, Ran: failure.NotRun, RetryAfter: retryAfter, Message: message + ": they have named limits or asked for a backoff"}
 }
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -27,7 +27,7 @@
 	if predicted <= limit || limit == 0 {
 		return nil
 	}
-	klog.InfoS("placement: refused", "request", d.req.ID, "predictedMS", predicted.Milliseconds(), "limitMS", limit.Milliseconds(), "waitMS", best.queueing.Milliseconds(),
+	d.logRefusal("placement: refused", "request", d.req.ID, "predictedMS", predicted.Milliseconds(), "limitMS", limit.Milliseconds(), "waitMS", best.queueing.Milliseconds(),
 		"uncached", best.uncached, "endpoint", best.serve.ID, "peers", len(d.p.loads.peers), "newsMS", d.p.loads.oldestReportAge(d.now).Milliseconds())
 	return &failure.Request{
 		Code: failure.DeadlineUnreachable, Ran: failure.NotRun, RetryAfter: d.retryAfterLate(predicted - limit),
--- a/placement/expendable.go
+++ b/placement/expendable.go
@@ -4,73 +4,14 @@
 	"slices"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/relay"
 )
 
-const (
-	// downTTL is how long an endpoint that was found down is avoided. By then its row has expired,
-	// or it is back under the same incarnation.
-	downTTL = 5 * time.Second
-	// downRetryInterval is how often a VM tries a down endpoint if no other is left.
-	downRetryInterval = 200 * time.Millisecond
-	// groupPeakTTL is how long a former size of a group that has shrunk is its reference: longer than it
-	// takes to replace a crashed endpoint.
-	groupPeakTTL = 10 * time.Second
-	// suspectRetryAfter is the shortest time after which a suspect should retry. It takes seconds to
-	// replace a crashed endpoint.
-	suspectRetryAfter = time.Second
-)
-
-// down reports whether the endpoint was found down within downTTL.
-func (e *endpointLoad) down(now time.Time) bool {
-	return !e.downAt.IsZero() && now.Sub(e.downAt) < downTTL
-}
-
-// recordServed records that the endpoint has served a request. One that was sent before the endpoint
-// was found down says nothing: its response may have been on the way.
-func (e *endpointLoad) recordServed(sentAt time.Time) {
-	if sentAt.After(e.downAt) {
-		e.downAt = time.Time{}
-	}
-}
-
-// MarkDown records that an endpoint accepts no more connections.
-func (p *Planner) MarkDown(e *directory.Endpoint) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.markDown(p.loads.get(e))
-}
-
-// IsDown reports whether an endpoint was found down within downTTL.
-func (p *Planner) IsDown(e *directory.Endpoint) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	load := p.loads.byID[e.ID]
-	return load != nil && load.startedAt == e.StartedAt && load.down(p.now())
-}
-
-// markDown records that an endpoint accepts no more connections. The caller holds mu.
-func (p *Planner) markDown(load *endpointLoad) {
-	wasDown := load.down(p.now())
-	load.downAt = p.now()
-	p.loads.recordDown(load)
-	if !wasDown {
-		p.recordGroups(p.directory.Snapshot())
-	}
-	p.onDown()
-}
-
-// isUp reports whether an endpoint is neither down nor ejected nor changing its role. changing holds
-// the IDs of the engines whose role change this VM has ordered. The caller holds mu.
-func (p *Planner) isUp(e *directory.Endpoint, changing []string) bool {
-	now := p.now()
-	return !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start)) &&
-		!p.loads.changesRole(now, e) && !slices.Contains(changing, e.ID)
-}
+// suspectRetryAfter is the shortest time after which a suspect should retry. It takes seconds to
+// replace a crashed endpoint.
+const suspectRetryAfter = time.Second
 
 // suspect is a request that may crash endpoints.
 type suspect struct {
@@ -82,6 +23,8 @@
 	reserve int
 	// copiesOn holds the IDs of the endpoints on which copies of the request are running.
 	copiesOn []string
+	// preferred is set if the request may run on the reserved endpoints too if the others refuse it.
+	preferred bool
 }
 
 // minRetryReserve is the number of endpoints that stay up for others at least when a suspect is tried
@@ -91,11 +34,14 @@
 // suspectOf returns the suspect that an attempt is. As many endpoints stay up as it is suspected of
 // having crashed, and one more for the first attempt of a request: it repeats another one, of which
 // more copies may be running. A stream that has begun is less suspect and would be cut, so
-// minRetryReserve does not hold for it.
+// minRetryReserve does not hold for it. A request of which nothing is known prefers the endpoints on which copies
+// of it run, or otherwise to leave one.
 func suspectOf(prior relay.AttemptState) suspect {
 	s := suspect{key: prior.Suspicion.Key, reserve: prior.Suspicion.Crashes, copiesOn: prior.Suspicion.CopiesOn}
 	switch {
 	case prior.Streaming:
+	case prior.Suspicion.Unknown:
+		return suspect{key: s.key, reserve: 1, copiesOn: s.copiesOn, preferred: true}
 	case s.reserve == 0 && prior.Suspicion.Bystander:
 		s.reserve = 1
 	case s.reserve > 0 && len(prior.Tried) == 0:
@@ -112,8 +58,9 @@
 // expendableIn returns the endpoints of a group on which a suspect may run. At most all but one of
 // the group's usual number are reserved for others; an endpoint on which a copy of the suspect runs
 // cannot be reserved, since the copy may crash it. All VMs choose the same ones, as far as they know
-// the same endpoints to be up, so that copies of the request on different VMs crash no more.
-// changing is as for isUp. The caller holds mu.
+// the same endpoints to be up, so that copies of the request on different VMs crash no more. Invariant: all
+// suspects leave one and the same endpoint, whichever of the registered ones their VMs know, unless copies run
+// there. changing is as for isUp. The caller holds mu.
 func (p *Planner) expendableIn(g directory.Group, s suspect, changing []string) []*directory.Endpoint {
 	now := p.now()
 	var unaffected, withCopy []*directory.Endpoint
@@ -126,12 +73,19 @@
 			unaffected = append(unaffected, e)
 		}
 	}
+	if s.preferred && len(withCopy) > 0 {
+		return withCopy
+	}
 	usual := len(unaffected) + len(withCopy)
 	if size := p.groups[g]; size != nil {
 		usual = max(usual, size.reference(now))
 	}
 	reserved := min(s.reserve, usual-1)
-	return append(withCopy, rendezvousTop(s.key, unaffected, max(0, len(unaffected)-reserved))...)
+	candidates := unaffected
+	if reserved > 0 && !s.preferred {
+		candidates = rendezvousTop(0, unaffected, max(0, len(unaffected)-1))
+	}
+	return append(withCopy, rendezvousTop(s.key, candidates, max(0, len(unaffected)-reserved))...)
 }
 
 // expendable returns the endpoints on which the request may run: all of them unless it is suspected
@@ -171,7 +125,7 @@
 // withheld returns the refusal of a suspect that may run on none of the endpoints that are up.
 func (d *decision) withheld() *failure.Request {
 	retryAfter := suspectRetryAfter + time.Duration(d.p.random.Int64N(int64(suspectRetryAfter)))
-	klog.InfoS("placement: refused, suspected of crashing endpoints and too few are up", "request", d.req.ID, "service", d.req.Service, "try", d.prior.Number,
+	d.logRefusal("placement: refused, suspected of crashing endpoints and too few are up", "request", d.req.ID, "service", d.req.Service, "try", d.prior.Number,
 		"crashes", d.prior.Suspicion.Crashes, "withheld", d.numWithheld, "retryAfterMS", retryAfter.Milliseconds())
 	return &failure.Request{
 		Code: failure.CrashSuspected, Ran: failure.NotRun, RetryAfter: retryAfter,
--- a/placement/expendable_test.go
+++ b/placement/expendable_test.go
@@ -6,9 +6,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
-	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/relay"
@@ -145,7 +142,7 @@
 }
 
 // Guards against suspects of different crashes that each run on an endpoint of their own, and together
-// crash all that are up.
+// crash all that are up. Those of one crash are kept apart, except from the endpoint that all of them leave.
 func TestSuspectsOfSeveralCrashesShareEndpoints(t *testing.T) {
 	for _, endpoints := range []int{3, 6} {
 		for name, others := range map[string]bool{"of one crash": false, "of several crashes": true} {
@@ -163,7 +160,7 @@
 							used[id] = true
 						}
 					}
-					want := endpoints
+					want := endpoints - 1
 					if others {
 						want = endpoints - 2
 					}
@@ -176,6 +173,44 @@
 	}
 }
 
+// Guards against suspects that together crash all endpoints that are up, because those that were at work at every
+// crash choose by another hash than the others, or because VMs know different endpoints.
+func TestAllSuspectsLeaveOneEndpoint(t *testing.T) {
+	for _, endpoints := range []int{3, 4, 6} {
+		t.Run(fmt.Sprint(endpoints, " endpoints"), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				views := []*fixture{f}
+				for range endpoints {
+					views = append(views, newFixture(t))
+				}
+				for v, view := range views {
+					for i := range endpoints {
+						if i != v-1 {
+							view.addPlain(fmt.Sprint("p", i), "a")
+						}
+					}
+				}
+				used := map[string]bool{}
+				for key := range uint32(20) {
+					bystander := relay.AttemptState{Suspicion: relay.Suspicion{Bystander: true, Key: key + 1}}
+					for _, state := range []relay.AttemptState{repeatOf(1, key+1), retryOf(2, key+1), bystander} {
+						state.Suspicion.Others = key%2 == 0
+						for _, view := range views {
+							ids, _ := view.choices(state)
+							for _, id := range ids {
+								used[id] = true
+							}
+						}
+					}
+				}
+				if len(used) != endpoints-1 {
+					t.Errorf("the suspects run on %d endpoints, want %d", len(used), endpoints-1)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a suspect that crashes the last engine that serves, because another one counts as up
 // while it changes its role.
 func TestChangingEnginesDoNotReplaceOthers(t *testing.T) {
@@ -283,99 +318,6 @@
 	})
 }
 
-// The reference size of a group is the one before a crash, also when the row of the crashed endpoint
-// is deleted, and follows a group that stays smaller.
-func TestGroupSizeReference(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T, f *fixture) {
-		f.addPlain("p1", "a")
-		f.addPlain("p2", "a")
-		time.Sleep(time.Hour)
-		f.markDown("p1")
-		f.dir.Remove("p1")
-		time.Sleep(groupPeakTTL / 2)
-		if ids, _ := f.choices(retryOf(1, 7)); len(ids) != 0 {
-			t.Errorf("placed on %v, the last of two", ids)
-		}
-		time.Sleep(groupPeakTTL)
-		if ids, _ := f.choices(retryOf(1, 7)); len(ids) != 1 {
-			t.Errorf("placed on %v, want the only endpoint of a service", ids)
-		}
-	})
-}
-
-// An endpoint that was found down is avoided until it is back under another incarnation, has served
-// a request, or downTTL has passed, and tried as a last resort.
-func TestDownEndpointIsAvoided(t *testing.T) {
-	restart := func(f *fixture) {
-		f.dir.Put(directory.Registration{ID: "p1", StartedAt: 2, Service: "plain", Zone: "a", Slots: 4})
-	}
-	for _, tc := range []struct {
-		name   string
-		change func(f *fixture)
-		// servedLate completes a request that was sent to p1 before it was found down.
-		servedLate bool
-		want       []string
-	}{
-		{name: "nothing", change: func(*fixture) {}, want: []string{"p2"}},
-		{name: "a restart", change: restart, want: []string{"p1", "p2"}},
-		{name: "time", change: func(*fixture) { time.Sleep(downTTL) }, want: []string{"p1", "p2"}},
-		{name: "the other is down too", change: func(f *fixture) { f.markDown("p2"); time.Sleep(downRetryInterval) }, want: []string{"p1", "p2"}},
-		{name: "the other is gone and a request is served", change: func(f *fixture) {
-			f.dir.Remove("p2")
-			time.Sleep(downRetryInterval)
-			f.complete(f.plan(f.plainReq(), relay.AttemptState{}))
-			f.addPlain("p2", "a")
-		}, want: []string{"p1", "p2"}},
-		{name: "a request sent before is served", change: func(*fixture) {}, servedLate: true, want: []string{"p2"}},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			inVirtualTime(t, func(t *testing.T, f *fixture) {
-				f.addPlain("p1", "a")
-				sent := f.plan(f.plainReq(), relay.AttemptState{})
-				f.addPlain("p2", "a")
-				time.Sleep(time.Millisecond)
-				f.markDown("p1")
-				if tc.servedLate {
-					time.Sleep(time.Millisecond)
-					f.complete(sent)
-				}
-				tc.change(f)
-				ids, refused := f.choices(relay.AttemptState{})
-				slices.Sort(ids)
-				if !slices.Equal(ids, tc.want) || refused != nil {
-					t.Errorf("placed on %v (refused: %v), want %v", ids, refused, tc.want)
-				}
-			})
-		})
-	}
-}
-
-// While every endpoint is down, requests are refused at once, except for one attempt on each endpoint
-// per downRetryInterval.
-func TestDownEndpointsAreRetriedRarely(t *testing.T) {
-	inVirtualTime(t, func(t *testing.T, f *fixture) {
-		f.addPlain("p1", "a")
-		f.addPlain("p2", "a")
-		attempts := 0
-		for range 1000 {
-			state := relay.AttemptState{}
-			for {
-				plan, failed := f.planner.Plan(f.plainReq(), state)
-				if failed != nil {
-					break
-				}
-				attempts++
-				plan.Watch.Finished(&failure.Request{Code: failure.EndpointUnreachable, Ran: failure.NotRun, Cause: unix.ECONNREFUSED}, false)
-				state.Tried = append(state.Tried, plan.Serve.ID)
-			}
-			time.Sleep(time.Millisecond)
-		}
-		if most := 2 * int(time.Second/downRetryInterval); attempts > most {
-			t.Errorf("%d attempts in a second, want at most %d", attempts, most)
-		}
-	})
-}
-
 // A suspect that waits between its plan and its send is planned anew if another endpoint of the
 // group has crashed meanwhile.
 func TestRecheckSparesLastEndpoint(t *testing.T) {
@@ -397,36 +339,3 @@
 		}
 	})
 }
-
-// Guards against a group whose last endpoint is taken because an older, larger size has expired: the size
-// that it had a moment ago still counts.
-func TestReferenceOfGroupIsItsLargestRecentSize(t *testing.T) {
-	type change struct {
-		after time.Duration
-		size  int
-	}
-	for _, tc := range []struct {
-		name    string
-		changes []change
-		at      time.Duration
-		want    int
-	}{
-		{"has not shrunk", []change{{0, 2}}, time.Hour, 2},
-		{"has just shrunk", []change{{0, 3}, {time.Second, 1}}, time.Second, 3},
-		{"has shrunk long ago", []change{{0, 3}, {time.Second, 1}}, time.Second + groupPeakTTL + 1, 1},
-		{"an older size expires", []change{{0, 3}, {time.Second, 2}, {groupPeakTTL, 1}}, groupPeakTTL + time.Second + 1, 2},
-		{"an older size has expired as another endpoint is lost", []change{{0, 3}, {time.Second, 2}, {groupPeakTTL, 1}, {2 * groupPeakTTL, 0}}, 2 * groupPeakTTL, 2},
-		{"has grown again", []change{{0, 3}, {time.Second, 1}, {2 * time.Second, 3}, {3 * time.Second, 2}}, 3 * time.Second, 3},
-		{"has grown beyond", []change{{0, 3}, {time.Second, 1}, {2 * time.Second, 4}}, 2 * time.Second, 4},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			start, s := time.Now(), &groupSize{}
-			for _, c := range tc.changes {
-				s.record(start.Add(c.after), c.size)
-			}
-			if got := s.reference(start.Add(tc.at)); got != tc.want {
-				t.Errorf("reference %d, want %d", got, tc.want)
-			}
-		})
-	}
-}
--- a/placement/groupsize.go
+++ b/placement/groupsize.go
@@ -7,6 +7,10 @@
 	"github.com/springweir/springweir/directory"
 )
 
+// groupPeakTTL is how long a former size of a group that has shrunk is its reference: longer than it
+// takes to replace a crashed endpoint.
+const groupPeakTTL = 10 * time.Second
+
 // groupSize is the number of endpoints of a group that are up.
 type groupSize struct {
 	current int
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -179,6 +179,11 @@
 	for attempt := 1; ; attempt++ {
 		d := p.newDecision(r, prior, changing)
 		plan, failed := d.plan(slices.Concat(changing, prior.Tried))
+		if failed != nil && d.suspect.preferred { // the reserved endpoints may take it
+			d = p.newDecision(r, prior, changing)
+			d.suspect = suspect{}
+			plan, failed = d.plan(slices.Concat(changing, prior.Tried))
+		}
 		if failed == nil || !d.permitLost || attempt == maxPlanAttempts {
 			return plan, failed
 		}
@@ -191,6 +196,13 @@
 	return &decision{p: p, req: r, prior: prior, now: p.now(), service: service, changing: changing, suspect: suspectOf(prior)}
 }
 
+// logRefusal logs a refusal, unless the request is tried on the reserved endpoints next.
+func (d *decision) logRefusal(message string, keysAndValues ...any) {
+	if !d.suspect.preferred {
+		klog.InfoSDepth(1, message, keysAndValues...)
+	}
+}
+
 // maxPlanAttempts bounds the decisions for one plan. A decision is repeated when a concurrent
 // request acquired the permit that it relied on.
 const maxPlanAttempts = 3
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -65,7 +65,7 @@
 		return relay.EndpointChangingRole
 	case !w.p.health.StillValid(w.p.now().Sub(w.p.start), r.ticket):
 		return relay.EndpointEjected
-	case !w.p.isExpendable(w.suspect, e):
+	case !w.suspect.preferred && !w.p.isExpendable(w.suspect, e):
 		return relay.EndpointNotExpendable
 	}
 	return planCause(r.permit.Recheck().Reason)
--- a/placement/software.go
+++ b/placement/software.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"k8s.io/klog/v2"
-
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
@@ -87,7 +85,7 @@
 	if d.prior.Software == nil || slices.ContainsFunc(d.p.directory.Snapshot().Service(d.req.Service), d.prior.Allows) {
 		return d.unavailable("no endpoint of the service takes work now")
 	}
-	klog.InfoS("placement: refused, no endpoint runs the software that began the stream", "request", d.req.ID, "origin", d.req.Origin,
+	d.logRefusal("placement: refused, no endpoint runs the software that began the stream", "request", d.req.ID, "origin", d.req.Origin,
 		"service", d.req.Service, "software", d.prior.Software.Version)
 	return &failure.Request{
 		Code: failure.SoftwareGone, Ran: failure.NotRun, RetryAfter: d.p.tuning.ComeBack,
