placement: short prompts follow long ones at the only engine that is left

While no engine that prefills is up, one that decodes now takes short prompts behind longer ones. TestShortPromptsFollowLongOnes failed before.

--- a/placement/direct.go
+++ b/placement/direct.go
@@ -29,13 +29,14 @@
 
 // mayPrefillDirectly reports whether an engine that decodes may prefill a prompt, given the tokens
 // that are still to be prefilled there and those of the prompt. While no engine that prefills is up,
-// it prefills one longer prompt at a time, also after short ones: refusing these prompts would leave it
-// idle, and several would delay its streams for too long.
+// it prefills one longer prompt at a time, also after short ones, and short ones after that: refusing these
+// prompts would leave it idle, and several longer ones would delay its streams for too long. An engine that
+// has just become one that decodes may still have longer ones to prefill.
 func (d *decision) mayPrefillDirectly(open, uncached int, prefillersUp bool) bool {
 	if d.prior.Colocated || open+uncached <= d.p.tuning.DirectTokens {
 		return true
 	}
-	return open <= d.p.tuning.DirectTokens && !prefillersUp
+	return min(open, uncached) <= d.p.tuning.DirectTokens && !prefillersUp
 }
 
 // prefillersUp reports whether an engine that prefills for the software under consideration is up,
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -89,6 +89,35 @@
 	}
 }
 
+// Guards against refusing short prompts while no engine that prefills is up and the only one that decodes still has
+// long prompts to prefill, as one that has just changed its role.
+func TestShortPromptsFollowLongOnes(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		open uint32
+		want failure.Reason
+	}{
+		{"a long prompt", 3000, ""},
+		{"more than can be prefilled in time", 200_000, failure.DeadlineUnreachable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.addEngine("d", "a", engine.Decode)
+				f.complete(f.plan(f.shortReq(), relay.AttemptState{}))
+				f.setPeerWork("d", 1, tc.open)
+				_, failed := f.planner.Plan(f.shortReq(), relay.AttemptState{})
+				got := failure.Reason("")
+				if failed != nil {
+					got = failed.Code
+				}
+				if got != tc.want {
+					t.Errorf("got %q, want %q", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against refusing long prompts while every engine that prefills is gone and engines that
 // decode are free. Each of these prefills one long prompt at a time; more are refused at once.
 func TestLongPromptsWithoutPrefillEngines(t *testing.T) {
