gateway: an endpoint that is missing after an outage is dropped before the VM must be up to date

Cause: the two seconds for which missing rows are kept began with the first answer of the store, which may come 1.7 s after the end of the outage.

--- a/feedshare/feedshare.go
+++ b/feedshare/feedshare.go
@@ -44,6 +44,9 @@
 	// others.
 	distantRank         = 12
 	distantStoreBackoff = 6 * time.Second
+	// maxStoreRetry is the longest time between two queries of a VM that reads from the store while that does
+	// not respond: the time until a query without a wait is given up, and the pause of table.Follower.
+	maxStoreRetry = 1400 * time.Millisecond
 	// storeResponseMargin is the time allowed for the store's response beyond the requested wait.
 	// A response that took longer counts from when it was due, and a table without a more recent
 	// response is not served.
@@ -95,7 +98,7 @@
 // Source follows one table, either at the store or at a VM that reads from the store. It
 // implements table.Feed for its table and caches the table for the VMs that query this one.
 //
-// A Source belongs to one follower: List, Changes and ConfirmedAt must not be called
+// A Source belongs to one follower: List, Changes, ConfirmedAt and UnansweredAt must not be called
 // concurrently.
 type Source struct {
 	table    string
@@ -117,6 +120,9 @@
 	// confirmedAt is the time at which the last successful query was sent to the store. Changes
 	// received later were made after it.
 	confirmedAt time.Time
+	// unansweredAt is when the last query was sent that the store did not answer, by this VM or, at the
+	// earliest, by one that reports that the store does not respond to it.
+	unansweredAt time.Time
 	// storePolled is set once the store was queried for changes.
 	storePolled bool
 	// lastSource is the source of the last response, for the log.
--- a/feedshare/silence_test.go
+++ b/feedshare/silence_test.go
@@ -45,6 +45,8 @@
 	opened map[string]int
 	// received is when each value arrived.
 	received map[string]time.Time
+	// recoveredAt is when the first response after an outage arrived, and unansweredAt what the source gave then.
+	recoveredAt, unansweredAt time.Time
 }
 
 const storeAddress = "store"
@@ -87,7 +89,12 @@
 				record(row)
 			}
 		},
-		OnChanges: func(changes []table.Change, _ bool) {
+		OnChanges: func(changes []table.Change, afterOutage bool) {
+			if afterOutage {
+				v.mu.Lock()
+				v.recoveredAt, v.unansweredAt = time.Now(), v.source.UnansweredAt()
+				v.mu.Unlock()
+			}
 			for _, c := range changes {
 				record(c.Row)
 			}
@@ -285,3 +292,37 @@
 		}
 	}
 }
+
+// Guards against keeping missing rows for longer or shorter than intended: when the store last did not respond is
+// never after the end of its silence, and not long before the first response that follows.
+func TestUnansweredAtBoundsEndOfSilence(t *testing.T) {
+	// A query is given up after half a second, and the longest pause of the follower is 0.825 s.
+	const retry = 1400 * time.Millisecond
+	for _, size := range []struct{ vms, zones int }{{6, 6}, {20, 1}, {45, 3}} {
+		t.Run(fmt.Sprintf("%d VMs in %d zones", size.vms, size.zones), func(t *testing.T) {
+			t.Parallel()
+			for phase := range 12 {
+				r := &silentRegion{settings: Settings{PropagationLimit: 2 * time.Second, CoalesceInterval: 250 * time.Millisecond}, zones: size.zones}
+				runSilentRegion(t, r, size.vms, func() {
+					time.Sleep(25*time.Second + time.Duration(phase)*370*time.Millisecond)
+					r.setStoreSilent(true)
+					time.Sleep(5 * time.Second)
+					r.setStoreSilent(false)
+					endedAt := time.Now()
+					time.Sleep(10 * time.Second)
+					for _, v := range r.vms {
+						v.mu.Lock()
+						mostBefore := retry
+						if len(v.position().PrecedingPeers) > 0 {
+							mostBefore *= 2 // it hears from another VM that the store does not respond to that one
+						}
+						if v.unansweredAt.After(endedAt) || v.recoveredAt.Sub(v.unansweredAt) > mostBefore {
+							t.Errorf("phase %d, VM %d: unanswered %v after the end, recovered %v after it", phase, v.index, v.unansweredAt.Sub(endedAt), v.recoveredAt.Sub(endedAt))
+						}
+						v.mu.Unlock()
+					}
+				})
+			}
+		})
+	}
+}
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -22,6 +22,10 @@
 // All writes acknowledged before that time are known here. Only the follower may call it.
 func (s *Source) ConfirmedAt() time.Time { return s.confirmedAt }
 
+// UnansweredAt returns when the last query was sent that showed that the store does not respond, or zero. An
+// outage that ended since then ended after that time. Only the follower may call it.
+func (s *Source) UnansweredAt() time.Time { return s.unansweredAt }
+
 // Version returns the table version of the last response, from the store or a peer.
 func (s *Source) Version() table.Version { return s.cache.currentVersion() }
 
@@ -110,6 +114,7 @@
 	sentAt := clock.Now()
 	rows, version, err := s.store.List(ctx, name)
 	if err != nil {
+		s.unansweredAt = sentAt
 		s.storeFailed(err)
 		return nil, 0, err
 	}
@@ -246,6 +251,9 @@
 	receivedAt := clock.Now()
 	took := receivedAt.Sub(sentAt)
 	if err != nil {
+		if !isHistoryGone(err) {
+			s.unansweredAt = sentAt
+		}
 		if ctx.Err() == nil {
 			s.logStoreFailure(err, wait, took)
 		}
@@ -308,6 +316,9 @@
 func (s *Source) handlePeerError(address string, err error) {
 	var notReader *NotReaderError
 	if errors.As(err, &notReader) && s.cooldown() != nil {
+		if at := clock.Now().Add(-maxStoreRetry); at.After(s.unansweredAt) {
+			s.unansweredAt = at
+		}
 		s.recordPeerError(address, err)
 		return
 	}
--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -11,9 +11,14 @@
 	"github.com/springweir/springweir/table"
 )
 
-// expiryGrace is how long an endpoint stays in use after its row was found missing following an
-// outage of the store: a live endpoint rewrites its row within about two seconds.
-const expiryGrace = 2 * time.Second
+const (
+	// expiryGrace is how long an endpoint stays in use after its row was found missing following an
+	// outage of the store: a live endpoint rewrites its row within about two seconds.
+	expiryGrace = 2 * time.Second
+	// expiryMargin is how long before ContactWithin such an endpoint is removed at the latest: a request
+	// that was just sent takes as long to arrive.
+	expiryMargin = 200 * time.Millisecond
+)
 
 // followEndpoints keeps the directory up to date with the table of endpoints until ctx ends.
 func (g *Gateway) followEndpoints(ctx context.Context) {
@@ -183,16 +188,27 @@
 	return ids
 }
 
-// scheduleExpiry removes endpoints whose rows are still missing after expiryGrace.
+// scheduleExpiry removes endpoints whose rows are still missing after the grace period.
 func (g *Gateway) scheduleExpiry(ids []string) {
 	if len(ids) == 0 {
 		return
 	}
-	klog.InfoS("gateway: endpoints missing after a store outage, kept for a grace period", "endpoints", ids)
 	since := clock.Now()
-	time.AfterFunc(expiryGrace, func() {
+	grace := missingGrace(since, g.endpoints.UnansweredAt(), g.settings.ContactWithin)
+	klog.InfoS("gateway: endpoints missing after a store outage, kept for a grace period", "endpoints", ids, "graceMS", grace.Milliseconds())
+	time.AfterFunc(grace, func() {
 		if removed := g.directory.RemoveExpired(ids, since); len(removed) > 0 {
 			klog.InfoS("gateway: endpoints removed", "endpoints", removed)
 		}
 	})
 }
+
+// missingGrace returns how long endpoints whose rows are missing after an outage stay in use. The outage ended after
+// unansweredAt. It may have been this VM's own, and the endpoints may have left as it ended, so they are removed before
+// the VM must be up to date again.
+func missingGrace(now, unansweredAt time.Time, contactWithin time.Duration) time.Duration {
+	if unansweredAt.IsZero() {
+		return expiryGrace
+	}
+	return max(0, min(expiryGrace, unansweredAt.Add(contactWithin-expiryMargin).Sub(now)))
+}
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/feedshare"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/table"
 )
@@ -17,7 +18,7 @@
 // that it makes. A row's value is the endpoint's address; an empty value is malformed.
 func newFollowingGateway() (g *Gateway, snapshots *int) {
 	snapshots = new(int)
-	g = &Gateway{state: &state{}, directory: directory.New(func(_, _ *directory.Snapshot) { *snapshots++ })}
+	g = &Gateway{state: &state{}, endpoints: feedshare.NewSource("t", feedshare.Settings{}, nil, nil, nil), directory: directory.New(func(_, _ *directory.Snapshot) { *snapshots++ })}
 	g.platform.DecodeEndpoint = func(row table.Row) (directory.Registration, error) {
 		if len(row.Value) == 0 {
 			return directory.Registration{}, errors.New("malformed")
--- a/table/follow.go
+++ b/table/follow.go
@@ -16,7 +16,7 @@
 	// feedRetryMin and feedRetryMax bound the mean pause before a failed query is retried; the
 	// pause doubles with each failure.
 	feedRetryMin = 100 * time.Millisecond
-	feedRetryMax = 800 * time.Millisecond
+	feedRetryMax = 550 * time.Millisecond
 )
 
 // Listing describes the circumstances under which a whole table was read.
