--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -15,29 +15,32 @@
 	// ratioFraction is the fraction of the configured ratio that is used. The rest covers requests
 	// that are counted slightly later than their retries.
 	ratioFraction = 0.8
-	// assumedVMCount is the number of VMs assumed to share the extra retries until the roster is
-	// available.
-	assumedVMCount = 16
 )
 
 // retryBudgets holds the retry budget of each service: this VM's share of the limits for the whole
 // region. It is safe for concurrent use; mu is locked before the lock of a budget.
 type retryBudgets struct {
 	mu sync.Mutex
-	// regionLimits are the limits over all VMs; vmCount is the number of VMs that share them.
+	// regionLimits are the limits over all VMs; vmCount is the number of VMs that share them, zero until
+	// that is known.
 	regionLimits retry.WindowLimits
 	vmCount      int
 	byService    map[string]*retry.Window
 }
 
 func newRetryBudgets(regionLimits retry.WindowLimits) *retryBudgets {
-	return &retryBudgets{regionLimits: regionLimits, vmCount: assumedVMCount, byService: map[string]*retry.Window{}}
+	return &retryBudgets{regionLimits: regionLimits, byService: map[string]*retry.Window{}}
 }
 
-// localLimits returns this VM's share of the limits.
+// localLimits returns this VM's share of the limits. It has none of the extra retries until it knows
+// how many VMs share them: many VMs may start together.
 func (b *retryBudgets) localLimits() retry.WindowLimits {
 	l := b.regionLimits
 	l.Ratio *= ratioFraction
+	if b.vmCount == 0 {
+		l.Extra = 0
+		return l
+	}
 	l.Extra *= extraFraction / float64(b.vmCount)
 	return l
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -30,7 +30,9 @@
 	g.exchange.SetPeers(peers)
 	g.quota.SetAddresses(addresses)
 	g.peerAddresses.Store(&addresses)
-	g.budgets.setVMCount(len(vms) + 1)
+	if g.roster.Complete() {
+		g.budgets.setVMCount(len(vms) + 1)
+	}
 }
 
 // membershipInterval is how often those who share limits receive the current members.
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -67,3 +67,25 @@
 		t.Errorf("listened on %v", listener.addresses)
 	}
 }
+
+// Endpoints that are missing after an outage are kept until a live one has registered again, but not for longer
+// than the VM may be out of date.
+func TestMissingGrace(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name         string
+		unansweredAt time.Time
+		want         time.Duration
+	}{
+		{"the store has always responded", time.Time{}, expiryGrace},
+		{"the outage may have ended just now", now.Add(-100 * time.Millisecond), expiryGrace},
+		{"the outage may have ended some time ago", now.Add(-1100 * time.Millisecond), 1700 * time.Millisecond},
+		{"the outage may have ended long ago", now.Add(-5 * time.Second), 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := missingGrace(now, tc.unansweredAt, 3*time.Second); got != tc.want {
+				t.Errorf("kept for %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -51,6 +51,7 @@
 		r.scheduleRewrite(lost + 1) // otherwise the others treat this VM as removed or not restarted
 	}
 	r.mu.Unlock()
+	r.complete.Store(true)
 	r.onChange(r.Others())
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -73,6 +74,8 @@
 	// listed is closed once the table was read.
 	listed   chan struct{}
 	listOnce sync.Once
+	// complete is set before onChange is called with the table's VMs for the first time.
+	complete atomic.Bool
 	// rewriteWithin holds an element while a rewrite of the local row is requested: the time within
 	// which to write it.
 	rewriteWithin chan time.Duration
@@ -108,6 +111,10 @@
 // Listed returns a channel that is closed once the other VMs were read from the table.
 func (r *Roster) Listed() <-chan struct{} { return r.listed }
 
+// Complete reports whether the other VMs were read from the table. Before that, only those are known that have
+// announced themselves.
+func (r *Roster) Complete() bool { return r.complete.Load() }
+
 // Run registers this VM and follows the others until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	var group errgroup.Group
