gateway: bound writes to a caller that reads nothing, and bodies that stop arriving

Each ends now after a minute without progress, as caller-gone. The response writer has a file of its own.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -11,7 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
+	"os"
 	"strings"
 	"time"
 
@@ -82,8 +82,9 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
-	writer := &responseWriter{w: w, control: http.NewResponseController(w)}
+	writer := newResponseWriter(w, callerStall)
 	result := h.relay.Serve(r.Context(), req, writer)
+	writer.close()
 	if ranOf(result.Failure) == failure.NotRun {
 		reservation.Refund()
 	}
@@ -113,7 +114,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	body, failed := readBody(w, r, config.Limits.BodyBytes)
+	body, failed := readBody(w, r, config.Limits.BodyBytes, callerStall)
 	if failed != nil {
 		return nil, failed
 	}
@@ -145,17 +146,22 @@
 	return a
 }
 
-// readBody reads the complete body so that it can be sent again on a retry.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *failure.Request) {
+// readBody reads the complete body so that it can be sent again on a retry. It fails if nothing of it arrives for
+// the time of a stall.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, stall time.Duration) ([]byte, *failure.Request) {
 	source := io.Reader(r.Body)
 	if limit > 0 {
 		source = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, err := io.ReadAll(source)
+	bounded := &stallReader{body: source, deadline: stallDeadline{stall: stall, set: http.NewResponseController(w).SetReadDeadline}}
+	defer bounded.deadline.remove()
+	body, err := io.ReadAll(bounded)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, &failure.Request{Code: failure.TooLarge, Ran: failure.NotRun, Message: "the body is over the limit", Cause: err}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "nothing of the request's body came for too long", Cause: err}
 	case err != nil:
 		return nil, &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "the request broke off", Cause: err}
 	}
@@ -237,45 +243,6 @@
 	return status
 }
 
-// responseWriter writes a response to the caller. It implements relay.ResponseWriter.
-type responseWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	flush   bool
-}
-
-// WriteHead implements relay.ResponseWriter.
-func (p *responseWriter) WriteHead(status int, header http.Header, length int64) error {
-	dst := p.w.Header()
-	for name, values := range header {
-		dst[name] = values
-	}
-	for _, added := range []string{"Content-Type", "Date"} {
-		if _, present := header[added]; !present {
-			dst[added] = nil // otherwise net/http adds its default value
-		}
-	}
-	if length >= 0 {
-		dst["Content-Length"] = []string{strconv.FormatInt(length, 10)}
-	}
-	p.flush = length < 0
-	p.w.WriteHeader(status)
-	return nil
-}
-
-// Write implements relay.ResponseWriter.
-func (p *responseWriter) Write(b []byte) error {
-	if _, err := p.w.Write(b); err != nil {
-		return err
-	}
-	if p.flush {
-		return p.control.Flush()
-	}
-	return nil
-}
-
-var _ relay.ResponseWriter = (*responseWriter)(nil)
-
 // target returns the request target as sent by the caller, without a host.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- /dev/null
+++ b/gateway/response_writer.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springweir/springweir/relay"
+)
+
+// writeChunk is the size of a write, in bytes. Each has a deadline of its own, so that a slow caller may
+// take as long as it needs for a large response.
+const writeChunk = 64 << 10
+
+// responseWriter writes a response to the caller. It implements relay.ResponseWriter.
+type responseWriter struct {
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	deadline stallDeadline
+}
+
+var _ relay.ResponseWriter = (*responseWriter)(nil)
+
+func newResponseWriter(w http.ResponseWriter, stall time.Duration) *responseWriter {
+	control := http.NewResponseController(w)
+	return &responseWriter{w: w, control: control, deadline: stallDeadline{stall: stall, set: control.SetWriteDeadline}}
+}
+
+// WriteHead implements relay.ResponseWriter.
+func (p *responseWriter) WriteHead(status int, header http.Header, length int64) error {
+	dst := p.w.Header()
+	for name, values := range header {
+		dst[name] = values
+	}
+	for _, added := range []string{"Content-Type", "Date"} {
+		if _, present := header[added]; !present {
+			dst[added] = nil // otherwise net/http adds its default value
+		}
+	}
+	if length >= 0 {
+		dst["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
+	p.w.WriteHeader(status)
+	return nil
+}
+
+// Write implements relay.ResponseWriter. It fails if the caller accepts nothing for the time of a stall.
+func (p *responseWriter) Write(b []byte) error {
+	for len(b) > 0 {
+		chunk := b[:min(len(b), writeChunk)]
+		if err := p.deadline.renew(); err != nil {
+			return err
+		}
+		if _, err := p.w.Write(chunk); err != nil {
+			return err
+		}
+		b = b[len(chunk):]
+	}
+	return p.control.Flush()
+}
+
+// close removes the deadline of the writes.
+func (p *responseWriter) close() { p.deadline.remove() }
--- /dev/null
+++ b/gateway/stall.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"io"
+	"time"
+)
+
+const (
+	// callerStall is how long a caller may accept nothing of its response, or send nothing of its request's body,
+	// before the connection is closed. Without a bound, a caller that does not read keeps a slot of its endpoint
+	// until the endpoint gives up. The kernel reports progress of a write only in steps of up to a megabyte, which a
+	// slow caller takes in this time.
+	callerStall = time.Minute
+	// deadlineRenewals is how often a deadline is renewed at most within the time of a stall: setting it
+	// for each event of a stream would cost more than the write of a short one.
+	deadlineRenewals = 8
+)
+
+// stallDeadline is the deadline of the reads or the writes of a connection. It is renewed as they make progress.
+type stallDeadline struct {
+	// stall is how long a read or a write may make no progress, and set sets the connection's deadline.
+	stall time.Duration
+	set   func(time.Time) error
+	at    time.Time
+}
+
+// renew gives the next read or write the time of a stall, or nearly.
+func (d *stallDeadline) renew() error {
+	now := time.Now()
+	if d.at.Sub(now) > d.stall-d.stall/deadlineRenewals {
+		return nil
+	}
+	d.at = now.Add(d.stall)
+	return d.set(d.at)
+}
+
+// remove removes the deadline if there is one: it would otherwise hold for later requests on the connection.
+func (d *stallDeadline) remove() {
+	if !d.at.IsZero() {
+		_ = d.set(time.Time{}) // fails only if the connection is closed
+	}
+}
+
+// stallReader reads a request's body. A read fails if nothing arrives for the time of a stall.
+type stallReader struct {
+	body     io.Reader
+	deadline stallDeadline
+}
+
+// Read implements io.Reader.
+func (r *stallReader) Read(p []byte) (int, error) {
+	if err := r.deadline.renew(); err != nil {
+		return 0, err
+	}
+	return r.body.Read(p)
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -208,13 +209,17 @@
 	}
 	s.begun = true
 	s.plan.Watch.FirstEvent()
-	j.recordStart()
 	j.relay.cfg.Guard.Answered(j.req)
+	j.recordStart()
 }
 
 // callerDisconnected returns the failure of a request whose caller could not be written to.
 func callerDisconnected(err error) *failure.Request {
-	return &failure.Request{Code: failure.CallerGone, Ran: failure.Unknown, Message: "the caller went away", Cause: err}
+	message := "the caller went away"
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		message = "the caller accepted nothing of its response for too long"
+	}
+	return &failure.Request{Code: failure.CallerGone, Ran: failure.Unknown, Message: message, Cause: err}
 }
 
 // interrupted returns the failure of a response that ended early. Whether the request ran to
