gateway: refuse connections unread while the VM's link is busy

A link of 10 Mbit/s carries some 30 prompts of 18 kB a second; with 150 a second the connections to endpoints timed out behind the bodies and none was served (TestSmallVMTakesNoMoreThanItsLinkCarries). While what is on its way takes the link more than 0.1 s, the VM closes its listening socket: a refused connection costs one packet and is tried at another VM. docs/design/platform.md, Intake, has what was weighed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,10 +150,12 @@
 	usage *usage.Ledger
 	// origins knows which software began each stream.
 	origins *origin.Tracker
-	roles   *rolechange.Controller
-	duties  *duties.Runner
-	guard   *poison.Guard
-	quota   *quota.Limiter
+	// intake is nil if the bandwidth of the VM's link is not known.
+	intake *intake
+	roles  *rolechange.Controller
+	duties *duties.Runner
+	guard  *poison.Guard
+	quota  *quota.Limiter
 	// reach sends attempts to endpoints, through other VMs if necessary, and hop passes on those of
 	// other VMs.
 	reach     *reach.Client
@@ -185,6 +187,9 @@
 		Zone: s.Zone, Directory: g.directory, Routes: g.state.config.Load,
 		RoleChanges: func() []string { return g.roles.Changing() }, Signals: g.signals, Tuning: s.Placement, OnDown: g.expediteReplacement,
 	})
+	if s.Placement.LinkBitsPerSecond > 0 {
+		g.intake = newIntake(s.Placement.LinkBitsPerSecond, g.planner.UplinkWait)
+	}
 	wallClock := clock.NewWallClock().Now
 	g.budgets = newRetryBudgets(s.Retry)
 	self := roster.VM{Name: s.VM, Zone: s.Zone, Address: s.Peers, Capacity: s.Strength, Boot: roster.NewBoot()}
@@ -278,7 +283,7 @@
 	klog.InfoS("gateway: starting", "settings", g.settings)
 	// Listen for callers before the readiness check can succeed: otherwise a VM that receives its
 	// configuration at once would be ready while it refuses connections.
-	listener, err := g.listen(g.settings.Callers)
+	listener, err := g.listenForCallers()
 	if err != nil {
 		return err
 	}
@@ -344,7 +349,8 @@
 
 func (g *Gateway) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           &handler{codec: g.platform.Codec, relay: g.relay, state: g.state, quota: g.quota},
+		Handler:           &handler{codec: g.platform.Codec, relay: g.relay, state: g.state, quota: g.quota, intake: g.intake},
+		ConnContext:       connContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -369,6 +375,20 @@
 	return l, nil
 }
 
+// listenForCallers listens on the callers' port. If the bandwidth of the VM's link is known, connections are
+// refused while the link is busy.
+func (g *Gateway) listenForCallers() (net.Listener, error) {
+	if g.intake == nil {
+		return g.listen(g.settings.Callers)
+	}
+	l, err := newIntakeListener(g.intake, func() (net.Listener, error) { return g.network.Listen(g.settings.Callers) })
+	if err != nil {
+		return nil, err
+	}
+	klog.InfoS("gateway: listening", "address", g.settings.Callers)
+	return l, nil
+}
+
 func serveOn(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -59,6 +59,8 @@
 	relay *relay.Relay
 	state *state
 	quota *quota.Limiter
+	// intake is nil if the bandwidth of the VM's link is not known.
+	intake *intake
 }
 
 // ServeHTTP implements http.Handler.
@@ -114,7 +116,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	body, failed := readBody(w, r, config.Limits.BodyBytes, callerStall)
+	body, failed := h.readBody(w, r, config.Limits.BodyBytes)
 	if failed != nil {
 		return nil, failed
 	}
@@ -146,6 +148,14 @@
 	return a
 }
 
+// readBody reads the complete body and accounts for it on the VM's link.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *failure.Request) {
+	if h.intake != nil {
+		defer h.intake.reading(r)()
+	}
+	return readBody(w, r, limit, callerStall)
+}
+
 // readBody reads the complete body so that it can be sent again on a retry. It fails if nothing of it arrives for
 // the time of a stall.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, stall time.Duration) ([]byte, *failure.Request) {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -343,6 +343,13 @@
 // requestHeadBytes is the usual size of a request's head, which is sent with its body.
 const requestHeadBytes = 600
 
+// UplinkWait returns how long the VM's uplink is busy with requests that were placed before.
+func (p *Planner) UplinkWait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.uplink.wait(p.now())
+}
+
 // sendTime returns how long the VM's uplink takes to send the request once.
 func (d *decision) sendTime() time.Duration {
 	return d.p.uplink.transmitTime(requestHeadBytes + len(d.req.Body))
