loadshare: in a small region, a stream record goes to two VMs at once

A VM that was killed within a round (10 ms) of a stream's first event took the record of its software version along, and the caller was refused. TestStreamRecordIsKeptBeforeNextRound. In a large region it stays, by design: each record would double the collectors' datagrams.

--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -25,7 +25,6 @@
 
 	"github.com/springweir/springweir/freshness"
 	"github.com/springweir/springweir/internal/clock"
-	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
@@ -129,6 +128,8 @@
 	stall stallDetector
 	// conn is the socket while the Exchange runs.
 	conn atomic.Pointer[net.UDPConn]
+	// newStreams wakes the sender if there are stream records that are sent at once.
+	newStreams chan struct{}
 
 	mu           sync.Mutex
 	region       region
@@ -148,7 +149,8 @@
 // New returns an Exchange without peers.
 func New(cfg Config) *Exchange {
 	self := Peer{Name: cfg.VM, Zone: cfg.Zone, Capacity: cfg.Capacity}
-	return &Exchange{cfg: cfg, boot: rand.Uint64(), lastReceived: map[string]datagramID{}, region: newRegion(self), outbox: newOutbox(), echoes: newEchoes()}
+	return &Exchange{cfg: cfg, boot: rand.Uint64(), lastReceived: map[string]datagramID{}, region: newRegion(self), outbox: newOutbox(), echoes: newEchoes(),
+		newStreams: make(chan struct{}, 1)}
 }
 
 // SetPeers replaces the peers.
@@ -232,7 +234,7 @@
 // send runs the rounds of datagrams to the peers until ctx ends.
 func (x *Exchange) send(ctx context.Context, conn *net.UDPConn) {
 	var throttle idleThrottle
-	for x.awaitRound(ctx) {
+	for x.awaitRound(ctx, conn) {
 		list := x.messages(&throttle)
 		total, toZone := 0, 0
 		for _, m := range list {
@@ -249,11 +251,23 @@
 	}
 }
 
-// awaitRound waits for the next round and reports whether ctx has not ended.
-func (x *Exchange) awaitRound(ctx context.Context) bool {
+// awaitRound waits for the next round and reports whether ctx has not ended. Meanwhile it sends new stream
+// records.
+func (x *Exchange) awaitRound(ctx context.Context, conn *net.UDPConn) bool {
 	interval := x.interval()
 	x.stall.expect(clock.Now(), interval)
-	return loop.Sleep(ctx, interval)
+	round := time.NewTimer(interval)
+	defer round.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-round.C:
+			return ctx.Err() == nil
+		case <-x.newStreams:
+			x.sendFirstStreams(conn)
+		}
+	}
 }
 
 // messages returns the messages of this round. While there is no work it returns none, except in
--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -21,6 +21,9 @@
 	maxStreamsPerRound = 100
 	// maxPendingStreams bounds the queued records; the oldest are dropped.
 	maxPendingStreams = 1 << 15
+	// firstKeepers is the number of VMs of a small region that are sent a new record at once. Any of them is
+	// asked for it if this VM ends before its next round.
+	firstKeepers = 2
 )
 
 var streamsDropped = metrics.NewCounter("springweir_loadshare_streams_dropped_total")
@@ -33,7 +36,11 @@
 
 // streamOutbox queues the stream records to send. It is part of an Exchange and guarded by the
 // Exchange's mu.
-type streamOutbox struct{ items []pendingStream }
+type streamOutbox struct {
+	items []pendingStream
+	// first holds new records that firstKeepers VMs are sent before the next round.
+	first []StreamRecord
+}
 
 // pendingStream is a record and how often it is still to be sent.
 type pendingStream struct {
@@ -66,14 +73,46 @@
 	return records
 }
 
-// PublishStreams sends records to the VMs that keep them: all others in a small region, and in a large one
-// the collector of the zone and that of another zone. Without other VMs it drops them.
+// takeFirst returns the records that are to be sent before the next round.
+func (o *streamOutbox) takeFirst() []StreamRecord {
+	records := o.first
+	o.first = nil
+	return records
+}
+
+// PublishStreams sends records to the VMs that keep them: all others in a small region, two of them at once, and
+// in a large one the collector of the zone and that of another zone. Without other VMs it drops them.
 func (x *Exchange) PublishStreams(records ...StreamRecord) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if len(x.region.peers) > 0 {
-		x.streams.add(records...)
+	if len(x.region.peers) == 0 {
+		return
+	}
+	x.streams.add(records...)
+	if x.region.usesCollectors() || len(x.streams.first)+len(records) > maxStreamsPerRound {
+		return
 	}
+	x.streams.first = append(x.streams.first, records...)
+	select {
+	case x.newStreams <- struct{}{}:
+	default: // a wake-up is pending
+	}
+}
+
+// sendFirstStreams sends new records to firstKeepers other VMs.
+func (x *Exchange) sendFirstStreams(conn *net.UDPConn) {
+	keepers, _ := x.StreamKeepers()
+	x.mu.Lock()
+	records := x.streams.takeFirst()
+	if len(records) == 0 || len(keepers) == 0 {
+		x.mu.Unlock()
+		return
+	}
+	load := &sharepb.Load{NoWork: true, Streams: packStreams(records)}
+	x.setSender(load)
+	x.mu.Unlock()
+	first := int(records[0].Stream % uint64(len(keepers)))
+	x.sendLoad(conn, load, slices.Concat(keepers[first:], keepers[:first])[:min(firstKeepers, len(keepers))])
 }
 
 // StreamKeepers returns the other VMs that may hold a stream record and are presumed alive: those of a small
--- a/loadshare/streams_test.go
+++ b/loadshare/streams_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// Guards against a VM that takes the records of its newest streams along when it is killed between two rounds.
+func TestStreamRecordIsKeptBeforeNextRound(t *testing.T) {
+	list := newAnnouncementRecorders(t, 4)
+	beginner := list[0].x
+	beginner.lastRoundDatagrams = 60 * maxDirectRate // its first round is in a minute
+	for _, r := range list {
+		r.run(t)
+	}
+	for _, r := range list {
+		for r.x.conn.Load() == nil { // a datagram to a VM that does not listen yet is lost
+			time.Sleep(time.Millisecond)
+		}
+	}
+	beginner.PublishStreams(StreamRecord{Stream: 5, Software: 7})
+	deadline := time.Now().Add(5 * time.Second)
+	for len(streamKeepers(list, "stream 5 7")) < firstKeepers {
+		if time.Now().After(deadline) {
+			t.Fatalf("the record is kept by %v", streamKeepers(list, "stream 5 7"))
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Records of all open streams, queued at once, are each sent streamSends times in rounds of bounded size,
 // and the oldest are dropped when too many wait.
 func TestStreamRecordsAreSentInBoundedRounds(t *testing.T) {
