--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -93,6 +93,37 @@
 	}
 }
 
+// Guards against a process that starts and sends to a withheld endpoint: it takes its first roster from a VM that was
+// told to withhold the endpoint, but has not read the roster that says so.
+func TestVMWithOlderRosterThanItsDecisionsAdmitsNoProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := fakenet.New()
+		roster, entries := newFakeNetZone(n, 2)
+		starting, vm := entries[0].client, roster.VMs[1]
+		serving := func() bool {
+			response, err := starting.Exchange(t.Context(), vm)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return response.Serving
+		}
+		if !serving() {
+			t.Error("a VM without decisions does not serve")
+		}
+		next := roster.Withhold("e")
+		if a, err := NewControllerClient(n.Transport("control")).Withhold(t.Context(), vm, "e", next.Revision); err != nil || !a.Withheld {
+			t.Errorf("Withhold: %+v, %v", a, err)
+		}
+		if serving() {
+			t.Error("a VM serves a roster that lacks what it withholds")
+		}
+		entries[1].member.ApplyRoster(next)
+		if !serving() {
+			t.Error("a VM that has read the roster does not serve")
+		}
+	})
+}
+
 func TestCallsOverTheNetwork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := fakenet.New()
--- a/peer/server.go
+++ b/peer/server.go
@@ -69,14 +69,16 @@
 	}
 }
 
-// Exchange implements entrypb.Entry.
+// Exchange implements entrypb.Entry. A process that has just started takes its first roster only from a VM that
+// serves. This VM is not one for it while it knows of a decision to withhold that its roster lacks: the process would
+// send to an endpoint that this VM has confirmed as withheld.
 func (s *Server) Exchange(_ context.Context, req *entrypb.ExchangeRequest) (*entrypb.ExchangeResponse, error) {
 	roster := s.member.Roster()
 	callerRevision := req.GetHolds().GetRoster()
 	resp := &entrypb.ExchangeResponse{
 		Holds:   s.ack(),
 		Vouched: s.member.ConfirmMember(req.GetFrom()),
-		Serving: s.member.Allow() == nil,
+		Serving: s.member.Allow() == nil && s.gate.Epoch() <= roster.Revision,
 	}
 	// Batches are indexed by the roster that the caller has after this response.
 	resp.Holds.Roster = roster.Revision
--- a/withhold/gate.go
+++ b/withhold/gate.go
@@ -45,9 +45,10 @@
 	slots sync.Map
 	// mu serialises decisions; TryAcquire takes it only to create a slot.
 	mu sync.Mutex
-	// revision is that of the newest roster applied, with which new slots start.
-	revision uint64
-	withheld map[string]bool
+	// revision is that of the newest roster applied, with which new slots start. decided is that of the newest
+	// decision, which may have come without its roster.
+	revision, decided uint64
+	withheld          map[string]bool
 }
 
 // NewGate returns a gate that withholds nothing and refuses work to the endpoints in l. SetPermit
@@ -157,6 +158,7 @@
 		return
 	}
 	g.revision = r.Revision
+	g.decided = max(g.decided, r.Revision)
 	g.withheld = listed
 	g.slots.Range(func(name, v any) bool {
 		g.setIfNewer(v.(*slot), r.Revision, listed[name.(string)])
@@ -164,11 +166,20 @@
 	})
 }
 
+// Epoch returns the roster revision of the newest decision on any endpoint, which may be newer than the roster that
+// this entry has.
+func (g *Gate) Epoch() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.decided
+}
+
 func (g *Gate) apply(endpoint string, epoch uint64, withheld bool) State {
 	s := g.slot(endpoint)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.setIfNewer(s, epoch, withheld)
+	g.decided = max(g.decided, epoch)
 	state := s.state.Load()
 	return State{Epoch: s.epoch, Withheld: state&withheldBit != 0, Streams: int(state &^ withheldBit)}
 }
