--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,5 +22,14 @@
   fi
 fi
 go mod download
+output=$(mktemp)
+trap 'rm -f "$output"' EXIT
 # No cached results: the test cache doesn't track the programs that e2e builds.
-exec go test -count=1 "${args[@]}" "$@" ./...
+if go test -count=1 "${args[@]}" "$@" ./... 2>&1 | tee "$output"; then
+  exit 0
+fi
+# The names and messages of failed tests are repeated at the end: logs of processes are long, and of CI's only the
+# end may be kept.
+echo "Failed tests:"
+grep -E -A 8 '^ *--- FAIL|^panic: |^fatal error: |WARNING: DATA RACE' "$output" | grep -vE '^[IWEF][0-9]{4} ' | head -60 || true
+exit 1
