reach: a VM is cut off from a zone only if none of up to 64 endpoints is reached, not of eight

It takes itself to be cut off, takes none of them for down, and the next requests spend their tries on them.

Ruled out: time limits (the check took 0.5 ms).

Change: if all of a sample refuse, further ones are drawn, eight at a time, up to 64. A connection that hangs still ends the check, as before.

--- a/reach/crash_test.go
+++ b/reach/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +72,36 @@
 	}
 }
 
+// Guards against a VM that takes itself to be cut off because a random sample contains none of the few endpoints
+// that are up after the loss of a rack.
+func TestFewEndpointsThatAreLeftAreFound(t *testing.T) {
+	const draws = 20
+	for _, tc := range []struct {
+		endpoints, up int
+		want          bool
+	}{
+		{endpoints: 13, up: 1, want: true},
+		{endpoints: 64, up: 1, want: true},
+		{endpoints: 400, up: 100, want: true},
+		{endpoints: 12},
+	} {
+		t.Run(fmt.Sprint(tc.up, " of ", tc.endpoints), func(t *testing.T) {
+			for range draws {
+				n := &fakeNetwork{direct: errConnectRefused, reached: map[string]bool{}}
+				var ids []string
+				for i := range tc.endpoints {
+					id := fmt.Sprint("e", i)
+					ids, n.reached[id] = append(ids, id), i < tc.up
+				}
+				c, d := newTestClient(n, append(ids, "lost")...)
+				if got := c.Works(t.Context(), d.Snapshot().Endpoint("lost")); got != tc.want {
+					t.Fatalf("the VM reaches the zone: %t, want %t", got, tc.want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a crash that goes unnoticed because the path to another endpoint of the zone, which has
 // crashed before, counts as broken.
 func TestPathToCrashedEndpointHidesNoCrash(t *testing.T) {
--- a/reach/works.go
+++ b/reach/works.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// sampledEndpoints is the number of endpoints to which a VM connects to learn whether it reaches
-	// any. After the loss of a rack most of them may be down.
+	// sampledEndpoints is the number of endpoints to which a VM connects at once to learn whether it reaches
+	// any.
 	sampledEndpoints = 8
+	// maxSampledEndpoints bounds all endpoints to which it connects if those before have refused. After the
+	// loss of a rack most of a zone may be down.
+	maxSampledEndpoints = 64
 	// failedCheckTTL is how long a VM that reached none of them counts as cut off.
 	failedCheckTTL = time.Second
 )
@@ -82,7 +85,7 @@
 }
 
 // samples returns some random endpoints of the zone of e and some of others, without e and those that are
-// known to be down. The first ones contain the endpoint to which a connection was last opened.
+// known to be down. The endpoint of the zone to which a connection was last opened comes first.
 func (c *Client) samples(e *directory.Endpoint) (sameZone, others []*directory.Endpoint) {
 	snapshot := c.cfg.Endpoints()
 	for _, other := range snapshot.All() {
@@ -95,10 +98,12 @@
 		}
 	}
 	sameZone, others = c.sampleUp(sameZone), c.sampleUp(others)
-	if last := c.lastConnected(e.Zone); last != nil && last.ID != e.ID && snapshot.Endpoint(last.ID) != nil && !c.cfg.Down(last) && !slices.Contains(sameZone, last) {
-		sameZone = append(sameZone, last)
+	last := c.lastConnected(e.Zone)
+	if last == nil || last.ID == e.ID || snapshot.Endpoint(last.ID) == nil || c.cfg.Down(last) {
+		return sameZone, others
 	}
-	return sameZone, others
+	sameZone = slices.DeleteFunc(sameZone, func(other *directory.Endpoint) bool { return other == last })
+	return slices.Insert(sameZone, 0, last), others
 }
 
 // sampleUp returns some of the endpoints that are not known to be down, at random. It changes the order of
@@ -106,7 +111,7 @@
 func (c *Client) sampleUp(list []*directory.Endpoint) []*directory.Endpoint {
 	var sample []*directory.Endpoint
 	for i := range list {
-		if len(sample) == sampledEndpoints {
+		if len(sample) == maxSampledEndpoints {
 			break
 		}
 		j := i + rand.IntN(len(list)-i)
@@ -124,7 +129,7 @@
 	return c.connected[zone]
 }
 
-// check connects to a sample of the endpoints of a zone, and to one of others if that is conclusive too.
+// check connects to a sample of the endpoints of a zone, and of others if that is conclusive too.
 // It reports whether an endpoint was reached. If not, the paths to the endpoints of the zone are broken.
 func (c *Client) check(ctx context.Context, zone string, sameZone, others []*directory.Endpoint) bool {
 	started := clock.Now()
@@ -140,7 +145,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	klog.InfoS("reach: no endpoint is reached directly", "zone", zone, "tried", len(sameZone)+1)
+	klog.InfoS("reach: no endpoint is reached directly", "zone", zone, "tried", len(failed)+1)
 	c.recordCheck(zone, zoneCheck{startedAt: started})
 	for _, f := range failed {
 		c.recordBroken(f.endpoint, f.err)
@@ -154,8 +159,24 @@
 	err      error
 }
 
-// connectAny connects to all endpoints at once and returns the first one reached, or the failures of all.
+// connectAny connects to sampledEndpoints at a time, until one is reached or does not refuse the connection. It
+// returns the first one reached, or the failures.
 func (c *Client) connectAny(ctx context.Context, list []*directory.Endpoint) (reached *directory.Endpoint, failed []failedConnect) {
+	for batch := range slices.Chunk(list, sampledEndpoints) {
+		reached, failures := c.connectBatch(ctx, batch)
+		if reached != nil {
+			return reached, nil
+		}
+		failed = append(failed, failures...)
+		if !allRefused(failures) {
+			break
+		}
+	}
+	return nil, failed
+}
+
+// connectBatch connects to all endpoints at once and returns the first one reached, or the failures of all.
+func (c *Client) connectBatch(ctx context.Context, list []*directory.Endpoint) (reached *directory.Endpoint, failed []failedConnect) {
 	results := make(chan failedConnect, len(list))
 	for _, e := range list {
 		go func() { results <- failedConnect{e, c.cfg.Direct.Connect(ctx, e)} }()
