poison: crashes that a quarantined request explains still count against one that crashed another endpoint

Change: a request that has been at four crashes, of which another request explains some but not all, is quarantined. The evidence is no weaker than for two requests that were at all of four crashes together, which are both quarantined. A request that was only beside a harmful one stays free, and so does one that was beside two of them in succession (cases of TestCrashAttribution).

TestCrashAttribution: the case 'two harmful requests together' asks for the verdict one crash earlier than before, which is stricter; 'together at three crashes' asks for it at the fourth crash of the second request instead of the sixth.

--- a/poison/evaluate.go
+++ b/poison/evaluate.go
@@ -22,7 +22,9 @@
 	maxTerm     = 4 * time.Hour
 )
 
-// score returns the number of crashes that a subject may have caused. The caller holds mu.
+// score returns the number of crashes that a subject may have caused. Those that a quarantined one explains count
+// only if a further one is not explained and they reach tieThreshold together: two harmful requests are often at
+// work at the same crashes. The caller holds mu.
 func (l *Ledger) score(k Subject) int {
 	s := l.suspects[k]
 	if s == nil {
@@ -35,12 +37,21 @@
 	if k.Part {
 		return n + l.partScore(k, s)
 	}
+	own, explained := 0, 0
 	for id := range s.crashes {
-		if c := l.crashes[id]; c != nil && !c.attributed && c.implicates(k) {
-			n++
+		c := l.crashes[id]
+		switch {
+		case c == nil || !c.implicates(k):
+		case !c.attributed:
+			own++
+		case c.attributedTo.Key != k.Key:
+			explained++
 		}
 	}
-	return n
+	if own > 0 && own+explained >= tieThreshold {
+		own += explained
+	}
+	return n + own
 }
 
 // implicates reports whether a subject may have caused the crash. A request that had emitted
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -87,7 +87,9 @@
 		{"with the same request at all four crashes", []string{"ka", "ka", "ka", "ka"}, []string{"", "", "", "both"}},
 		{"in the middle of its own stream", []string{"K", "KA", "KB"}, []string{"", "", "k"}},
 		{"two harmful requests in turn", []string{"ka", "ja", "kb", "jb", "kc", "jc"}, []string{"", "", "", "", "k", "j"}},
-		{"two harmful requests together", []string{"kj", "kj", "k", "j", "j", "j"}, []string{"", "", "k", "", "", "j"}},
+		{"two harmful requests together", []string{"kj", "kj", "k", "j", "j", "j"}, []string{"", "", "k", "", "j", ""}},
+		{"two harmful requests together at three crashes", []string{"kj", "kj", "kj", "k", "j", "j"}, []string{"", "", "", "k", "j", ""}},
+		{"beside harmful requests in succession", []string{"ka", "ka", "k", "ja", "j", "j"}, []string{"", "", "k", "", "", "j"}},
 		{"crashes without a common request", []string{"ab", "cd", "ef", "gh", "ij"}, []string{"", "", "", "", ""}},
 		{"crashes without suspects", []string{"", "", ""}, []string{"", "", ""}},
 	} {
