feedshare: a query of another VM that gets no response is repeated over a new connection

Cause, from a trace of one VM's queries: the store falls silent, the VM puts it in backoff (2 to 9 s) and reads from two other VMs; as connections fall silent too, each of the two is taken for unresponsive after its timeout and put in backoff, and nobody is left to ask. If the store has dropped its history meanwhile, the whole table is read over an idle connection that is silent as well.

Change: such a query is repeated once without a wait, unless the VM is seen to be unresponsive; an unanswered query closes the idle connections to other VMs. The simulation bounds the reading of a whole table as the client does; before, it let it hang for 10 s.

--- a/feedshare/client.go
+++ b/feedshare/client.go
@@ -21,6 +21,8 @@
 type Peers interface {
 	List(ctx context.Context, address, name string) ([]table.Row, table.Version, error)
 	Changes(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error)
+	// CloseIdle closes the connections that no query uses.
+	CloseIdle()
 }
 
 // peerIdleTimeout is how long an unused connection to another VM is kept open.
@@ -87,6 +89,9 @@
 	return changes, table.Version(response.Version), nil
 }
 
+// CloseIdle implements Peers.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
 func rowsFromProto(name string, encoded []*feedpb.Row) []table.Row {
 	rows := make([]table.Row, len(encoded))
 	for i, row := range encoded {
--- a/feedshare/client_test.go
+++ b/feedshare/client_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +28,33 @@
 	return source, strings.TrimPrefix(server.URL, "http://")
 }
 
+// Guards against queries over idle connections that have fallen silent like the one that was noticed.
+func TestCloseIdleClosesConnections(t *testing.T) {
+	source, _ := startServer(t)
+	source.cache.reset(nil, 1, time.Now())
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(Handler(source))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := NewClient(network.TCP())
+	for _, want := range []int32{1, 1, 2} {
+		if want > opened.Load() && want > 1 {
+			client.CloseIdle()
+		}
+		if _, _, err := client.List(t.Context(), strings.TrimPrefix(server.URL, "http://"), "t"); err != nil {
+			t.Fatal(err)
+		}
+		if got := opened.Load(); got != want {
+			t.Fatalf("%d connections were opened, want %d", got, want)
+		}
+	}
+}
+
 func TestListAndChangesOverHTTP(t *testing.T) {
 	source, address := startServer(t)
 	client := NewClient(network.TCP())
--- a/feedshare/progress.go
+++ b/feedshare/progress.go
@@ -27,6 +27,13 @@
 	return response, err
 }
 
+// CloseIdleConnections is called by http.Client.
+func (t *progressTransport) CloseIdleConnections() {
+	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 type progressBody struct {
 	io.ReadCloser
 	onProgress func()
--- a/feedshare/silence_test.go
+++ b/feedshare/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,8 @@
 	silences int
 	// storeSilent is set while the store answers nothing.
 	storeSilent bool
+	// noHistory is set if the store holds no changes that a VM missed.
+	noHistory bool
 }
 
 // silentVM is a VM with one connection to the store and one to each other VM.
@@ -203,7 +206,14 @@
 func (s silentStore) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) (changes []table.Change, next table.Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+clientMargin)
 	defer cancel()
-	if silence := s.vm.exchange(ctx, storeAddress, func() { changes, next, err = s.vm.region.store.Changes(ctx, name, after, wait) }); silence != nil {
+	silence := s.vm.exchange(ctx, storeAddress, func() {
+		if missed, _, _ := s.vm.region.store.Changes(ctx, name, after, 0); s.vm.region.noHistory && len(missed) > 0 {
+			err = &table.HistoryGoneError{Table: name, After: after}
+			return
+		}
+		changes, next, err = s.vm.region.store.Changes(ctx, name, after, wait)
+	})
+	if silence != nil {
 		return nil, 0, &table.UnavailableError{Cause: silence}
 	}
 	return changes, next, err
@@ -221,6 +231,8 @@
 }
 
 func (p silentPeers) List(ctx context.Context, address, name string) (rows []table.Row, version table.Version, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	silence := p.vm.exchange(ctx, address, func() {
 		var encoded []byte
 		if encoded, version, err = p.peer(address).source.cache.encodedList(ctx, name); err == nil {
@@ -247,6 +259,13 @@
 	return changes, next, err
 }
 
+// CloseIdle implements Peers. A VM sends one query at a time.
+func (p silentPeers) CloseIdle() {
+	p.vm.mu.Lock()
+	defer p.vm.mu.Unlock()
+	maps.DeleteFunc(p.vm.opened, func(address string, _ int) bool { return address != storeAddress })
+}
+
 // Guards against a change that a VM learns of too late because the query that it waits for got lost
 // in a silence of the store or of connections: a change must be known within the propagation limit,
 // or within the contact limit of the end of the silence if that is later.
@@ -258,17 +277,26 @@
 		// silence is how long the store answers nothing; queries that arrive meanwhile are never answered.
 		// Zero makes all connections fall silent for good at one instant.
 		silence time.Duration
+		// again is how long after that all connections fall silent for good, unless zero.
+		again     time.Duration
+		noHistory bool
 	}{
-		{"connections fall silent for good", 0},
-		{"the store is silent for 2.3 s", 2300 * time.Millisecond},
-		{"the store is silent for 5 s", 5 * time.Second},
+		{name: "connections fall silent for good"},
+		{name: "the store is silent for 2.3 s", silence: 2300 * time.Millisecond},
+		{name: "the store is silent for 5 s", silence: 5 * time.Second},
+		{name: "connections fall silent twice", again: 700 * time.Millisecond},
+		{name: "connections fall silent after the store", silence: 2300 * time.Millisecond, again: 300 * time.Millisecond},
+		{name: "the store is silent for 2.3 s and has no history", silence: 2300 * time.Millisecond, noHistory: true},
+		{name: "connections fall silent and the store has no history", noHistory: true},
+		{name: "connections fall silent after the store, which has no history", silence: 2300 * time.Millisecond, again: 600 * time.Millisecond, noHistory: true},
+		{name: "connections fall silent twice and the store has no history", again: 1100 * time.Millisecond, noHistory: true},
 	} {
 		for _, size := range []struct{ vms, zones int }{{6, 6}, {20, 1}, {45, 3}} {
 			for _, limit := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
 				t.Run(fmt.Sprintf("%s, %d VMs in %d zones, %v", kind.name, size.vms, size.zones, limit), func(t *testing.T) {
 					t.Parallel()
 					for phase := range 12 {
-						r := &silentRegion{settings: Settings{PropagationLimit: limit, CoalesceInterval: limit / 8}, zones: size.zones}
+						r := &silentRegion{settings: Settings{PropagationLimit: limit, CoalesceInterval: limit / 8}, zones: size.zones, noHistory: kind.noHistory}
 						runSilentRegion(t, r, size.vms, func() {
 							r.put(t, "old")
 							time.Sleep(25*time.Second + time.Duration(phase)*370*time.Millisecond)
@@ -278,6 +306,10 @@
 							}
 							time.Sleep(kind.silence)
 							r.setStoreSilent(false)
+							if kind.again > 0 {
+								time.Sleep(kind.again)
+								r.fallSilent()
+							}
 							endedAt := time.Now()
 							time.Sleep(2 * time.Millisecond)
 							ackedAt := r.put(t, "new")
--- a/feedshare/source.go
+++ b/feedshare/source.go
@@ -128,9 +128,10 @@
 func (s *Source) Changes(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	shortWait := min(wait, s.settings.pollWait())
 	for _, address := range s.available(s.position().PrecedingPeers) {
-		peerCtx, cancel := s.whilePreceding(ctx, address, shortWait+peerResponseMargin)
-		changes, next, err := s.changesFromPeer(peerCtx, address, name, after, shortWait)
-		cancel()
+		bound := func(limit time.Duration) (context.Context, context.CancelFunc) {
+			return s.whilePreceding(ctx, address, limit)
+		}
+		changes, next, err := s.changesFromPeer(bound, address, name, after, shortWait)
 		if err == nil || isHistoryGone(err) {
 			return changes, next, err
 		}
@@ -150,13 +151,12 @@
 // respond, so that the store, which may be back, is queried again.
 func (s *Source) changesFromOutside(ctx context.Context, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	var err error = &NotReaderError{Table: name}
+	bound := func(limit time.Duration) (context.Context, context.CancelFunc) { return clock.WithTimeout(ctx, limit) }
 	for _, address := range s.available(s.position().PeersOutsideZone()) {
 		var changes []table.Change
 		var next table.Version
 		sentAt := clock.Now()
-		peerCtx, cancel := clock.WithTimeout(ctx, wait+peerResponseMargin)
-		changes, next, err = s.changesFromPeer(peerCtx, address, name, after, wait)
-		cancel()
+		changes, next, err = s.changesFromPeer(bound, address, name, after, wait)
 		if err == nil || isHistoryGone(err) {
 			return changes, next, err
 		}
@@ -173,8 +173,26 @@
 	return errors.As(err, &historyGone)
 }
 
-// changesFromPeer queries another VM for changes.
-func (s *Source) changesFromPeer(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+// queryBound returns the context of a query that may take as long as limit.
+type queryBound func(limit time.Duration) (context.Context, context.CancelFunc)
+
+// changesFromPeer queries another VM for changes. A query that gets no response is repeated once over another
+// connection, as its own may have fallen silent while the VM responds.
+func (s *Source) changesFromPeer(bound queryBound, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	ctx, cancel := bound(wait + peerResponseMargin)
+	defer cancel()
+	changes, next, err := s.queryPeer(ctx, address, name, after, wait)
+	if err == nil || context.Cause(ctx) != context.DeadlineExceeded {
+		return changes, next, err
+	}
+	s.peers.CloseIdle()
+	again, cancelAgain := bound(peerResponseMargin)
+	defer cancelAgain()
+	return s.queryPeer(again, address, name, after, 0)
+}
+
+// queryPeer sends one query for changes to another VM.
+func (s *Source) queryPeer(ctx context.Context, address, name string, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
 	changes, next, err := s.peers.Changes(ctx, address, name, after, wait)
 	if err != nil {
 		return nil, 0, err
@@ -209,6 +227,7 @@
 	changes, next, took, err := s.queryStore(ctx, name, after, wait)
 	if repeat && isUnanswered(err, took, wait) {
 		s.cache.markUnavailable() // VMs that read from this one need not wait for the second query
+		s.peers.CloseIdle()       // connections may fall silent together
 		changes, next, _, err = s.queryStore(ctx, name, after, 0)
 	}
 	if err != nil {
--- a/feedshare/zonesim_test.go
+++ b/feedshare/zonesim_test.go
@@ -266,6 +266,9 @@
 // vmPeers is how one VM reaches the others.
 type vmPeers struct{ vm *vm }
 
+// CloseIdle implements Peers. Connections of this simulation do not fall silent.
+func (vmPeers) CloseIdle() {}
+
 // connect returns the VM at address, or an error if a fault makes it unreachable.
 func (p vmPeers) connect(ctx context.Context, address string) (*vm, error) {
 	var index int
