--- a/gateway/endpoints.go
+++ b/gateway/endpoints.go
@@ -67,7 +67,7 @@
 	if len(malformed) > 0 {
 		g.directory.Remove(malformed...)
 	}
-	g.scheduleExpiry(expired)
+	g.scheduleExpiry(expired, listing.AfterOutage)
 	g.scheduleResolution(disputed)
 	g.state.endpointsListed.Store(true)
 	klog.InfoS("gateway: endpoints read", "count", len(registrations), "afterOutage", listing.AfterOutage, "newEpoch", listing.NewEpoch)
@@ -101,7 +101,7 @@
 		klog.InfoS("gateway: endpoint deregistered", "endpoint", id, "version", c.Row.Version.String())
 	}
 	g.putEndpoints(puts)
-	g.scheduleExpiry(expired)
+	g.scheduleExpiry(expired, afterOutage)
 }
 
 // recordDrainDelay records the time between a drain and its arrival at this VM. Only the first sign
@@ -188,13 +188,17 @@
 	return ids
 }
 
-// scheduleExpiry removes endpoints whose rows are still missing after the grace period.
-func (g *Gateway) scheduleExpiry(ids []string) {
+// scheduleExpiry removes endpoints whose rows are still missing after the grace period. They may be missing after an
+// outage of the store, or because it was restored from a backup without one.
+func (g *Gateway) scheduleExpiry(ids []string, afterOutage bool) {
 	if len(ids) == 0 {
 		return
 	}
 	since := clock.Now()
-	grace := missingGrace(since, g.endpoints.UnansweredAt(), g.settings.ContactWithin)
+	grace := expiryGrace
+	if afterOutage {
+		grace = missingGrace(since, g.endpoints.UnansweredAt(), g.settings.ContactWithin)
+	}
 	klog.InfoS("gateway: endpoints missing after a store outage, kept for a grace period", "endpoints", ids, "graceMS", grace.Milliseconds())
 	time.AfterFunc(grace, func() {
 		if removed := g.directory.RemoveExpired(ids, since); len(removed) > 0 {
