relay: an endpoint that breaks off an answer that its caller did not read is not counted as failed

Found by reading: three callers in succession that read nothing had a healthy endpoint ejected, as their streams were counted as truncated.

Change: a stream that breaks off after nothing was read of it for a second ends with the reason answer-unread, which the planner takes for abandoned. Retries and the probe for a crash are as before. TestUnreadAnswerIsNoFailureOfEndpoint failed before.

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -60,6 +60,8 @@
 	EndpointStalled Reason = "endpoint-stalled"
 	// AnswerTruncated is a response stream that ended without its terminal frame.
 	AnswerTruncated Reason = "answer-truncated"
+	// AnswerUnread is a response stream that the endpoint broke off after the caller had not read it for a while.
+	AnswerUnread Reason = "answer-unread"
 	// AnswerMismatch is a response that belongs to another attempt.
 	AnswerMismatch Reason = "answer-mismatch"
 	// ClaimUnavailable is a call rejected because its claim could not be recorded.
@@ -199,6 +201,7 @@
 	EndpointFailed:       http.StatusBadGateway,
 	EndpointStalled:      http.StatusBadGateway,
 	AnswerTruncated:      http.StatusBadGateway,
+	AnswerUnread:         http.StatusBadGateway,
 	AnswerMismatch:       http.StatusBadGateway,
 	ClaimUnavailable:     http.StatusServiceUnavailable,
 	ClaimInProgress:      http.StatusConflict,
--- a/relay/eventstream.go
+++ b/relay/eventstream.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
 )
 
@@ -36,6 +38,9 @@
 	final         bool
 	items         chan streamItem
 	closed        chan struct{}
+	// unread is the longest time for which nothing was read from the endpoint because the caller took none of it. It
+	// belongs to the goroutine that reads the events, and is complete once that has passed on an error.
+	unread time.Duration
 
 	// mu guards the fields below. It is a leaf lock.
 	mu    sync.Mutex
@@ -99,14 +104,29 @@
 	if s.offer(item) {
 		return true
 	}
+	since := clock.Now()
 	select {
 	case s.items <- item:
+		s.unread = max(s.unread, clock.Since(since))
 		return true
 	case <-s.closed:
 		return false
 	}
 }
 
+// unreadLimit is how long an endpoint keeps an answer at least that nobody reads. One that is broken off after a
+// longer time without reads is no sign of a fault of the endpoint.
+const unreadLimit = time.Second
+
+// brokenOff returns the failure of a stream that ended early.
+func (s *openStream) brokenOff(err error) *failure.Request {
+	failed := interrupted(err)
+	if s.unread >= unreadLimit {
+		failed.Code, failed.Message = failure.AnswerUnread, "the answer broke off after the caller had not read it for a while"
+	}
+	return failed
+}
+
 // offer passes an item on if no other one is waiting, and reports whether it did. The item may end the
 // replacement of a held stream.
 func (s *openStream) offer(item streamItem) bool {
--- a/relay/response.go
+++ b/relay/response.go
@@ -118,7 +118,7 @@
 				return j.finishStream(s.response)
 			}
 			if item.err != nil {
-				return interrupted(item.err)
+				return s.brokenOff(item.err)
 			}
 			if failed := j.forwardEvent(s, item.event); failed != nil {
 				return failed
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -59,12 +59,13 @@
 }
 
 // verdict returns how the end of an attempt is reported to the planner, after a silence that was
-// observed at its end. An endpoint that was silent for long until the deadline has failed.
+// observed at its end. An endpoint that was silent for long until the deadline has failed. One whose answer the
+// caller did not read has not.
 func verdict(ctx context.Context, failed *failure.Request, silence time.Duration) (reported *failure.Request, abandoned bool) {
 	if failed != nil && silence >= longSilence && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return stalled(silence), false
 	}
-	return failed, isAbandoned(ctx, failed)
+	return failed, isAbandoned(ctx, failed) || failed != nil && failed.Code == failure.AnswerUnread
 }
 
 // replacementState describes the attempts to the planner as if the one at an endpoint had failed.
--- a/relay/stalled_test.go
+++ b/relay/stalled_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
 )
@@ -179,3 +181,44 @@
 		synctest.Wait()
 	})
 }
+
+// slowWriter is a caller that accepts nothing for some time after the first event.
+type slowWriter struct {
+	fakeWriter
+	pause time.Duration
+}
+
+func (w *slowWriter) Write(p []byte) error {
+	time.Sleep(w.pause)
+	return w.fakeWriter.Write(p)
+}
+
+// Guards against endpoints that are ejected because callers do not read their answers: an endpoint breaks off one that
+// stays unread for some seconds.
+func TestUnreadAnswerIsNoFailureOfEndpoint(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		pause  time.Duration
+		code   failure.Reason
+		blamed bool
+	}{
+		{"the caller reads nothing for seconds", 3 * time.Second, failure.AnswerUnread, false},
+		{"the caller reads", 10 * time.Millisecond, failure.AnswerTruncated, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				planner := &verdictPlanner{fakePlanner: &fakePlanner{pending: []string{"a"}, registry: directory.New(nil), unusable: map[string]PlanChange{}}}
+				broken := ok(sse(1), sse(2), sse(3), sse(4))
+				broken.err = unix.ECONNRESET
+				relay := New(Config{
+					Planner: planner, Upstream: &fakeUpstream{sends: []reply{broken}}, Budget: func(string) Budget { return &lockedBudget{} },
+					Endpoints: planner.registry.Snapshot,
+				})
+				result := relay.Serve(t.Context(), &Request{ID: "r", Route: &stream, Service: "s", Received: time.Now()}, &slowWriter{pause: tc.pause})
+				if result.Failure == nil || result.Failure.Code != tc.code || planner.blamed != tc.blamed {
+					t.Errorf("failure %v, the endpoint is blamed: %t", result.Failure, planner.blamed)
+				}
+			})
+		})
+	}
+}
