relay: count attempts by what paid for them

Logs and metrics could not distinguish the hypotheses on retries beyond the region's limit: what VMs take from their budgets was counted, what endpoints get without it was not. Each attempt that may have reached an endpoint is now counted as first, retry, backup or none; none is logged with its request.

The relay's scenarios compare the calls that arrive with the retries taken, independently of the counter: no scenario has an unpaid attempt apart from runs that resume on their backup.

--- a/relay/handoff.go
+++ b/relay/handoff.go
@@ -117,9 +117,13 @@
 
 // collect takes over what a successor has prepared. Its watchdog must have stopped.
 func (j *job) collect(n *successor) {
-	if n.prepared != nil {
-		j.next, j.retryKept = n.prepared, false
+	if n.prepared == nil {
+		return
+	}
+	if !n.retryKept {
+		j.arrivals.retries++
 	}
+	j.next, j.retryKept = n.prepared, false
 }
 
 // discardNext gives back the plan of the prepared attempt, if there is one. Its retry is kept for a later
@@ -138,7 +142,11 @@
 		j.retryKept = false
 		return true
 	}
-	return j.relay.cfg.Budget(j.req.Service).Take()
+	if !j.relay.cfg.Budget(j.req.Service).Take() {
+		return false
+	}
+	j.arrivals.retries++
+	return true
 }
 
 // adoptNext makes the prepared attempt the current one. It returns false if there is none, or if the
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -33,6 +33,7 @@
 		return failed
 	}
 	handle, failed := j.relay.cfg.Upstream.Prefill(prefillCtx, &prefillAttempt)
+	j.recordPrefill(failed)
 	failed = watchdog.Explain(prefillCtx, failed)
 	dog.Stop()
 	j.collect(next)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,7 @@
 	// if a retry was taken for an attempt that was not sent.
 	next      *preparedAttempt
 	retryKept bool
+	arrivals  arrivals
 	// fallback is the complete error response of an endpoint, kept while the request is retried on
 	// another one.
 	fallback *bufferedResponse
@@ -284,6 +285,7 @@
 	timeout, next := j.stallTimeout(plan), j.newSuccessor(plan.Serve.ID)
 	ctx, dog := watchdog.NewConditional(ctx, timeout, silenceCheckInterval, j.mayAbandon(plan, next))
 	response, failed := j.relay.cfg.Upstream.Send(ctx, a)
+	j.recordRun(failed)
 	if failed == nil && j.req.Route.Kind == routes.Stream && response.Status()/100 == 2 {
 		dog.Pause()
 		j.collect(next)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -73,6 +73,13 @@
 	freed    []string
 	// open counts the responses that were not closed.
 	open int
+	// runsArrived and prefillsArrived count the calls that may have reached an endpoint.
+	runsArrived, prefillsArrived int
+}
+
+// extraArrivals returns the number of calls beyond the first run and the first prefill.
+func (u *fakeUpstream) extraArrivals() int {
+	return max(0, u.runsArrived-1) + max(0, u.prefillsArrived-1)
 }
 
 func (u *fakeUpstream) record(format string, args ...any) {
@@ -102,6 +109,9 @@
 	}
 	u.mu.Lock()
 	u.record("%s", call)
+	if resumes := a.Import != nil && a.Import.ID == a.Request.ID; !isUnreachable(next.failed) && !resumes {
+		u.runsArrived++
+	}
 	u.sends = u.sends[1:]
 	u.mu.Unlock()
 	if failed := next.wait(ctx); failed != nil {
@@ -136,6 +146,9 @@
 	}
 	u.mu.Lock()
 	u.record("%s", call)
+	if !isUnreachable(next.failed) {
+		u.prefillsArrived++
+	}
 	u.prefills = u.prefills[1:]
 	id := fmt.Sprint("kv", len(u.calls))
 	u.mu.Unlock()
@@ -410,6 +423,9 @@
 		if result.Failure != nil {
 			out.Code, out.Ran = result.Failure.Code, result.Failure.Ran
 		}
+		if unpaid := upstream.extraArrivals() - budget.taken - otherBudget.taken - otherBudget.firstAttempts; unpaid > 0 {
+			t.Errorf("%d attempts that may have reached an endpoint took nothing from the retry budget: %q", unpaid, upstream.calls)
+		}
 		out.Calls, out.Freed, out.Retries, out.Attempts = upstream.calls, upstream.freed, budget.taken, result.Attempts
 		if upstream.open != 0 || planner.open != 0 || budget.firstAttempts != 1 {
 			t.Errorf("open responses: %d, want 0; open plans: %d, want 0; first attempts recorded: %d, want 1", upstream.open, planner.open, budget.firstAttempts)
--- a/relay/reroute.go
+++ b/relay/reroute.go
@@ -61,7 +61,7 @@
 		"routeBefore", j.req.Route.Name, "serviceBefore", j.req.Service)
 	if routed.Service != j.req.Service {
 		j.freeHandle()
-		j.handle, j.prefilled = nil, false
+		j.handle, j.prefilled, j.arrivals = nil, false, arrivals{}
 		j.relay.cfg.Budget(routed.Service).First()
 	}
 	j.req = routed
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -122,10 +122,14 @@
 		return nil, nil, noFurtherAttempt()
 	}
 	next, failed := j.relay.prepareAttempt(routed, state, j.req.Service, j.retryKept)
-	if failed == nil {
-		j.retryKept = false
+	if failed != nil {
+		return nil, nil, failed
+	}
+	if !j.retryKept {
+		j.arrivals.retries++
 	}
-	return next, nil, failed
+	j.retryKept = false
+	return next, nil, nil
 }
 
 // attemptsWith returns the number of attempts including that of a stream.
