gateway: restarts no longer renew the retry budget

Callers and endpoints saw: beside failing endpoints and VMs that are killed or restarted, the VMs of a region together sent more retries than its limit allows.

Cause: retry.Window counted first attempts and retries in memory, and a VM could spend at once what the first attempts of the last 10 s had earned. A VM that starts again has forgotten its retries, but not the right to new ones: its share of the extra retries, and the ratio of its new first attempts. What a VM that is lost had spent is earned again in the same window by the VMs that take over its callers.

Ruled out: fewer VMs counted (rows of the roster stay for 30 minutes), requests counted as first attempts twice by a hop (a hop sends to the endpoint, it starts no request of its own).

Now a VM saves retries and spends them (a token bucket); restarting loses what was saved. In any window the VMs spend at most what they saved before it, bounded by the first attempts of the window before, and what they earn in it. Both parts together stay below the limit whatever restarts. A VM whose name the store does not know yet starts with its share of the extra retries, so that a new region can retry its first requests (TestIdempotentIsRetriedElsewhere and TestStreamIsResumedOrInterrupted of package platform failed without that).

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -2,59 +2,59 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/retry"
 )
 
-const (
-	// extraFraction is the fraction of its even share of the extra retries that a VM uses. The rest
-	// is a reserve: a VM that restarts forgets what it spent in the window, and one that joins
-	// takes a share before all other VMs have reduced theirs.
-	extraFraction = 0.5
-	// ratioFraction is the fraction of the configured ratio that is used. The rest covers requests
-	// that are counted slightly later than their retries.
-	ratioFraction = 0.8
-)
+// emptyAfterRestart is for how long new budgets of a VM that was started again are empty, as a multiple of the
+// limits' span. By then it would have saved its share of the extra retries.
+const emptyAfterRestart = 3
 
 // retryBudgets holds the retry budget of each service: this VM's share of the limits for the whole
 // region. It is safe for concurrent use; mu is locked before the lock of a budget.
 type retryBudgets struct {
+	startedAt time.Time
+
 	mu sync.Mutex
 	// regionLimits are the limits over all VMs; vmCount is the number of VMs that share them, zero until
-	// that is known.
-	regionLimits retry.WindowLimits
+	// that is known. firstStart is set once it is known that this VM has not been started before.
+	regionLimits retry.RegionLimits
 	vmCount      int
-	byService    map[string]*retry.Window
+	firstStart   bool
+	byService    map[string]*retry.Budget
 }
 
-func newRetryBudgets(regionLimits retry.WindowLimits) *retryBudgets {
-	return &retryBudgets{regionLimits: regionLimits, byService: map[string]*retry.Window{}}
+func newRetryBudgets(regionLimits retry.RegionLimits) *retryBudgets {
+	return &retryBudgets{startedAt: clock.Now(), regionLimits: regionLimits, byService: map[string]*retry.Budget{}}
 }
 
-// localLimits returns this VM's share of the limits. It has none of the extra retries until it knows
-// how many VMs share them: many VMs may start together.
-func (b *retryBudgets) localLimits() retry.WindowLimits {
-	l := b.regionLimits
-	l.Ratio *= ratioFraction
-	if b.vmCount == 0 {
-		l.Extra = 0
-		return l
-	}
-	l.Extra *= extraFraction / float64(b.vmCount)
+// localLimits returns this VM's share of the limits. The caller holds mu.
+func (b *retryBudgets) localLimits() retry.Limits {
+	l := b.regionLimits.PerVM(b.vmCount)
+	l.StartsEmpty = !b.firstStart && clock.Since(b.startedAt) < emptyAfterRestart*b.regionLimits.Span
 	return l
 }
 
-// setVMCount updates the number of VMs.
-func (b *retryBudgets) setVMCount(n int) {
+// setVMCount updates the number of VMs, and whether this one is known not to have been started before: it then has its
+// share of the extra retries from the beginning.
+func (b *retryBudgets) setVMCount(n int, firstStart bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vmCount = n
 	b.applyLimits()
+	if firstStart && !b.firstStart {
+		b.firstStart = true
+		for _, budget := range b.byService {
+			budget.Fill()
+		}
+	}
 }
 
 // setLimits updates the limits over all VMs.
-func (b *retryBudgets) setLimits(regionLimits retry.WindowLimits) {
+func (b *retryBudgets) setLimits(regionLimits retry.RegionLimits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.regionLimits = regionLimits
@@ -64,8 +64,8 @@
 // applyLimits sets the local limits on every budget. The caller holds mu.
 func (b *retryBudgets) applyLimits() {
 	limits := b.localLimits()
-	for _, w := range b.byService {
-		w.SetLimits(limits)
+	for _, budget := range b.byService {
+		budget.SetLimits(limits)
 	}
 }
 
@@ -73,10 +73,10 @@
 func (b *retryBudgets) forService(service string) relay.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.byService[service]
-	if w == nil {
-		w = retry.NewWindow(b.localLimits(), nil)
-		b.byService[service] = w
+	budget := b.byService[service]
+	if budget == nil {
+		budget = retry.NewBudget(b.localLimits(), nil)
+		b.byService[service] = budget
 	}
-	return w
+	return budget
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,7 @@
 	// Placement holds the parameters of placement.
 	Placement placement.Tuning
 	// Retry limits the retries of each service over all VMs.
-	Retry retry.WindowLimits
+	Retry retry.RegionLimits
 	// Duties configures the calls to the platform that one VM at a time makes.
 	Duties Duties
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -31,7 +31,7 @@
 	g.quota.SetAddresses(addresses)
 	g.peerAddresses.Store(&addresses)
 	if g.roster.Complete() {
-		g.budgets.setVMCount(len(vms) + 1)
+		g.budgets.setVMCount(len(vms)+1, g.roster.FirstStart())
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,6 +6,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -76,6 +77,8 @@
 	listOnce sync.Once
 	// complete is set before onChange is called with the table's VMs for the first time.
 	complete atomic.Bool
+	// firstStart is set once this VM has written the first row under its name.
+	firstStart atomic.Bool
 	// rewriteWithin holds an element while a rewrite of the local row is requested: the time within
 	// which to write it.
 	rewriteWithin chan time.Duration
@@ -115,6 +118,9 @@
 // announced themselves.
 func (r *Roster) Complete() bool { return r.complete.Load() }
 
+// FirstStart reports whether no earlier start of this VM is known to the store. It is false until the VM has registered.
+func (r *Roster) FirstStart() bool { return r.firstStart.Load() }
+
 // Run registers this VM and follows the others until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	var group errgroup.Group
@@ -125,9 +131,7 @@
 
 // maintainRow writes this VM's row, refreshes it periodically, and removes stale rows of other VMs.
 func (r *Roster) maintainRow(ctx context.Context) {
-	for ctx.Err() == nil && !r.register(ctx) {
-		loop.Sleep(ctx, loop.Jitter(retryInterval))
-	}
+	r.registerStart(ctx)
 	for r.waitForCheck(ctx, loop.Jitter(checkInterval)) {
 		for r.refreshDue() && !r.register(ctx) && loop.Sleep(ctx, loop.Jitter(retryInterval)) {
 			continue
@@ -169,26 +173,51 @@
 	return clock.Since(r.lastWritten) > refreshInterval
 }
 
+// registerStart writes this VM's row for the first time. A row that exists, of an earlier start or of a write whose
+// response was lost, is replaced.
+func (r *Roster) registerStart(ctx context.Context) {
+	absent := []table.Check{{Key: rowKey(r.self.Name), Version: table.Absent}}
+	for ctx.Err() == nil {
+		err := r.writeRow(ctx, absent)
+		var conflict *table.ConflictError
+		switch {
+		case err == nil:
+			if len(absent) > 0 {
+				r.firstStart.Store(true)
+				r.onChange(r.Others())
+			}
+			return
+		case errors.As(err, &conflict):
+			absent = nil
+		default:
+			loop.Sleep(ctx, loop.Jitter(retryInterval))
+		}
+	}
+}
+
 // register writes this VM's row, unconditionally: only the newest start of a VM writes it, and a
 // stale address costs only a few datagrams.
-func (r *Roster) register(ctx context.Context) bool {
+func (r *Roster) register(ctx context.Context) bool { return r.writeRow(ctx, nil) == nil }
+
+// writeRow writes this VM's row if the checks hold.
+func (r *Roster) writeRow(ctx context.Context, checks []table.Check) error {
 	value, err := json.Marshal(r.self)
 	if err != nil {
 		klog.ErrorS(err, "roster: row of this VM cannot be encoded")
-		return true
+		return nil
 	}
 	ctx, cancel := clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = r.rows.Commit(ctx, table.Txn{Writes: []table.Write{{Key: rowKey(r.self.Name), Value: value}}})
+	_, err = r.rows.Commit(ctx, table.Txn{Checks: checks, Writes: []table.Write{{Key: rowKey(r.self.Name), Value: value}}})
 	if err != nil {
 		klog.InfoS("roster: row not written", "err", err)
-		return false
+		return err
 	}
 	klog.InfoS("roster: row written", "vm", r.self.Name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastWritten = clock.Now()
-	return true
+	return nil
 }
 
 func rowKey(name string) table.Key { return table.Key{Table: Table, Row: name} }
