--- a/retry/budget.go
+++ b/retry/budget.go
@@ -32,8 +32,8 @@
 
 // Budget is a token bucket of retries for one pool of targets. In any period it grants at most
 // Burst + BurstRatio*first attempts of the BurstSpan before + Ratio*first attempts + FloorPerSecond*seconds
-// retries, which bounds the additional load that a failing endpoint causes. It is safe for concurrent use. Its lock is a leaf: no other lock
-// is acquired while it is held.
+// retries, which bounds the additional load that a failing endpoint causes. It is safe for concurrent
+// use. Its lock is a leaf: no other lock is acquired while it is held.
 type Budget struct {
 	now func() time.Time
 
