--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -104,3 +104,54 @@
 		}
 	})
 }
+
+// Only the first start under a name may take shares that an earlier start could have used.
+func TestFirstStartIsKnownFromTheRow(t *testing.T) {
+	for name, tc := range map[string]struct {
+		prepare func(t *testing.T, rows *memtable.Table)
+		want    bool
+	}{
+		"no row":                       {func(*testing.T, *memtable.Table) {}, true},
+		"no row in a restored store":   {func(_ *testing.T, rows *memtable.Table) { rows.Restore(rows.Backup()) }, true},
+		"the store was away":           {func(_ *testing.T, rows *memtable.Table) { failOnce(rows, memtable.Fault{Fail: true}) }, true},
+		"the response was lost":        {func(_ *testing.T, rows *memtable.Table) { failOnce(rows, memtable.Fault{LoseResponse: true}) }, false},
+		"the row of an earlier start":  {startOnce, false},
+		"the same in a restored store": {func(t *testing.T, rows *memtable.Table) { startOnce(t, rows); rows.Restore(rows.Backup()) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := memtable.New()
+				tc.prepare(t, rows)
+				r, stop := startRoster(t, rows, "v1")
+				defer stop()
+				time.Sleep(3 * retryInterval)
+				stored, err := rows.Get(t.Context(), rowKey("v1"))
+				if err != nil || !r.isLocalRow(stored[0]) {
+					t.Errorf("the VM's row is %q, %v", stored[0].Value, err)
+				}
+				if got := r.FirstStart(); got != tc.want {
+					t.Errorf("first start: %t, want %t", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// startOnce starts and stops a VM.
+func startOnce(t *testing.T, rows *memtable.Table) {
+	_, stop := startRoster(t, rows, "v1")
+	time.Sleep(time.Second)
+	stop()
+}
+
+// failOnce injects a fault into the next transaction.
+func failOnce(rows *memtable.Table, f memtable.Fault) {
+	failed := false
+	rows.SetHook(func(c memtable.Call) memtable.Fault {
+		if failed || c.Op != memtable.OpCommit {
+			return memtable.Fault{}
+		}
+		failed = true
+		return f
+	})
+}
