--- a/gateway/budgets_restart_test.go
+++ b/gateway/budgets_restart_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/retry"
 )
 
@@ -75,7 +74,7 @@
 	if len(up) == 0 {
 		return
 	}
-	var budget relay.Budget = up[f.rng.IntN(len(up))].forService("s")
+	budget := up[f.rng.IntN(len(up))].forService("s")
 	budget.First()
 	if f.rng.Float64() < failing && budget.Take() {
 		f.extra = append(f.extra, time.Now())
