--- a/relay/arrivals.go
+++ b/relay/arrivals.go
@@ -25,7 +25,7 @@
 
 // arrivals counts the attempts of a request that may have reached an endpoint of its service, and the retries
 // taken for them.
-type arrivals struct{ runs, prefills, resumed, retries int }
+type arrivals struct{ runs, prefills, retries int }
 
 // prefill records a separate prefill and returns what paid for it.
 func (a *arrivals) prefill() payment {
@@ -36,7 +36,6 @@
 // run records a run, which resumes on its backup or not, and returns what paid for it.
 func (a *arrivals) run(resumes bool) payment {
 	if resumes {
-		a.resumed++
 		return paidByBackup
 	}
 	a.runs++
