--- a/review/scene/site.go
+++ b/review/scene/site.go
@@ -223,16 +223,6 @@
 	<-g.exited
 }
 
-// isUp reports whether the process has not ended.
-func (g *process) isUp() bool {
-	select {
-	case <-g.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // isReady asks the machine whether it is ready, as the platform does.
 func (g *process) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
