--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -18,6 +18,7 @@
 var plays = map[string]play{
 	"hangup-while-stopping": hangupWhileStopping,
 	"failure-after-run":     failureAfterRun,
+	"bodies-at-once":        bodiesAtOnce,
 }
 
 func main() {
--- a/review/scene/runner.go
+++ b/review/scene/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -28,14 +29,17 @@
 	r.id = fmt.Sprintf("i-%08x", 0x7f3a0000+l.Addr().(*net.TCPAddr).Port)
 	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
 	go func() { _ = r.server.Serve(l) }() // ends with the process
-	value := map[string]any{"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": 6, "state": "ready", "cold-ms": 0, "seq-num": 0}
-	for name, v := range row {
-		value[name] = v
-	}
-	s.store.Put("servers", r.id, value)
+	r.register(s, service, zone, row)
 	return r, nil
 }
 
+// register writes the runner's entry, with further fields.
+func (r *runner) register(s *site, service, zone string, fields map[string]any) {
+	row := map[string]any{"service": service, "address": r.address, "zone": zone, "version": "v1", "slots": 6, "state": "ready", "cold-ms": 0, "seq-num": 0}
+	maps.Copy(row, fields)
+	s.store.Put("servers", r.id, row)
+}
+
 // handle does what PROTOCOL.md says of every runner: another one's request gets 421, and the id is echoed.
 func (r *runner) handle(w http.ResponseWriter, req *http.Request) {
 	if target := req.Header.Get("Target-Instance"); target != "" && target != r.id {
