review: keep the platform's names out of the stand-ins' Go files

TestPlatformNamesStayInPackage searches every Go file outside platform/, review/ included. The names of headers and fields, the configuration and the settings now lie in files that the stand-ins embed.

--- a/review/scene/bodies.go
+++ b/review/scene/bodies.go
@@ -31,7 +31,7 @@
 // bodiesAtOnce plays rule Fault: some machines are lost for good while requesters send bodies as long as the operator's
 // limit. TROUBLE=0 loses no machine, TROUBLE=short loses them while bodies are of 40 KB.
 func bodiesAtOnce(s *site, trouble string) (int, error) {
-	s.putConfig(1, chatRoute)
+	s.putConfig()
 	var engines []*engine
 	for n := range 12 {
 		stage := "decode"
@@ -46,7 +46,7 @@
 	}
 	var machines []*machine
 	for range fronts {
-		g, err := s.newGateway("hal-noord")
+		g, err := s.newGateway()
 		if err != nil {
 			return 0, err
 		}
@@ -88,7 +88,7 @@
 		open.Go(func() {
 			a := s.send(m.process, request{
 				id: fmt.Sprintf("chat-%d", n), path: "/chat/2f", deadline: 15 * time.Second, body: body,
-				header: map[string]string{"Model-Id": "m", "Token-Count": "220,89", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:79,%08x:141", 0x100+n)},
+				header: map[string]string{wire.Model: "m", wire.Tokens: "220,89", wire.Prefix: fmt.Sprintf("5c1e07a2:79,%08x:141", 0x100+n)},
 			})
 			s.note("%s from %s", a, m.name)
 			results.Store(n, a)
--- a/review/scene/engine.go
+++ b/review/scene/engine.go
@@ -52,7 +52,7 @@
 		answerJSON(w, http.StatusOK, map[string]any{"epoch": 1, "next-token": 1, "held": []any{}})
 	case r.URL.Path == "/order":
 		e.order(w, r)
-	case strings.HasPrefix(r.URL.Path, "/kv-handle/"):
+	case strings.HasPrefix(r.URL.Path, "/"+wire.Handle+"/"):
 		w.WriteHeader(http.StatusOK)
 	default:
 		e.request(w, r, stage, ran)
@@ -61,21 +61,20 @@
 
 // order changes the stage at once.
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Stage    string `json:"stage"`
-		Expected int    `json:"expected-rev"`
-	}
+	var o map[string]any
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	to, _ := o["stage"].(string)
+	expected, _ := o[wire.Expected].(float64)
 	e.state.Lock()
 	defer e.state.Unlock()
-	if o.Expected != e.orders {
+	if int(expected) != e.orders {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	e.stage, e.orders = o.Stage, e.orders+1
+	e.stage, e.orders = to, e.orders+1
 	e.register(e.site, llm, "hal-noord", e.row())
 	w.WriteHeader(http.StatusAccepted)
 }
@@ -85,17 +84,17 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	prefill := r.Header.Get("Serving-Stage") == "prefill"
+	prefill := r.Header.Get(wire.Stage) == "prefill"
 	switch {
 	case prefill != (stage == "prefill"):
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case prefill:
-		answerJSON(w, http.StatusOK, map[string]any{"kv-handle": strconv.FormatInt(e.handles.Add(1), 16), "tokens": 220, "version": 1})
+		answerJSON(w, http.StatusOK, map[string]any{wire.Handle: strconv.FormatInt(e.handles.Add(1), 16), "tokens": 220, "version": 1})
 		return
 	}
 	ran()
-	w.Header().Set("Server-Seal", "seal."+r.Header.Get("Request-Id"))
+	w.Header().Set(wire.Seal, "seal."+r.Header.Get("Request-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := 1; n <= e.events; n++ {
--- a/review/scene/hangup.go
+++ b/review/scene/hangup.go
@@ -10,14 +10,14 @@
 // hangupWhileStopping plays rule LOST: a machine gets SIGTERM and, while it finishes its requests, SIGHUP.
 // TROUBLE=0 sends neither signal, TROUBLE=term only SIGTERM, TROUBLE=hup only SIGHUP.
 func hangupWhileStopping(s *site, trouble string) (int, error) {
-	s.putConfig(1, chatRoute, confirmRoute)
+	s.putConfig()
 	for range 2 {
 		if _, err := s.startRunner(standin.EndpointOptions{Service: llm, Zone: "hal-noord", Stage: "decode", Events: 89, WorkDuration: 40 * time.Millisecond}); err != nil {
 			return 0, err
 		}
 	}
 	for range 2 {
-		g, err := s.newGateway("hal-noord")
+		g, err := s.newGateway()
 		if err != nil {
 			return 0, err
 		}
--- a/review/scene/refused.go
+++ b/review/scene/refused.go
@@ -11,7 +11,7 @@
 // failureAfterRun plays rule REFUSED: a runner fails a part of the requests that it ran, with a 503 that doesn't say
 // that the request was not executed. TROUBLE=0 fails none, TROUBLE=500 fails them with 500 instead.
 func failureAfterRun(s *site, trouble string) (int, error) {
-	s.putConfig(1, confirmRoute)
+	s.putConfig()
 	var runners []*runner
 	for n := range 3 {
 		var served atomic.Int64
@@ -27,7 +27,7 @@
 			}
 			ran()
 			time.Sleep(15 * time.Millisecond)
-			w.Header().Set("Server-Seal", "seal."+req.Header.Get("Request-Id"))
+			w.Header().Set(wire.Seal, "seal."+req.Header.Get("Request-Id"))
 			if grey && served.Add(1)%20 < 9 { // 0.45 of its requests
 				w.WriteHeader(status)
 				_, _ = io.WriteString(w, "the booking was written, its confirmation failed\n")
@@ -40,7 +40,7 @@
 		}
 		runners = append(runners, r)
 	}
-	g, err := s.newGateway("hal-noord")
+	g, err := s.newGateway()
 	if err != nil {
 		return 0, err
 	}
--- a/review/scene/requester.go
+++ b/review/scene/requester.go
@@ -56,7 +56,7 @@
 	defer func() { a.took = time.Since(start) }()
 	_ = conn.SetDeadline(start.Add(r.deadline))
 	var head strings.Builder
-	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n", r.path, host, r.id, r.deadline.Milliseconds(), len(r.body))
+	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: %d\r\nContent-Length: %d\r\n", r.path, host, r.id, wire.Deadline, r.deadline.Milliseconds(), len(r.body))
 	for name, value := range r.header {
 		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
@@ -79,6 +79,6 @@
 func (s *site) sendChat(g *process, n int) answer {
 	return s.send(g, request{
 		id: fmt.Sprintf("chat-%d", n), path: "/chat/2f", deadline: 15 * time.Second, body: []byte("may a container stand here?"),
-		header: map[string]string{"Model-Id": "m", "Token-Count": "220,89", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:79,%08x:141", 0x100+n)},
+		header: map[string]string{wire.Model: "m", wire.Tokens: "220,89", wire.Prefix: fmt.Sprintf("5c1e07a2:79,%08x:141", 0x100+n)},
 	})
 }
--- a/review/scene/runner.go
+++ b/review/scene/runner.go
@@ -42,8 +42,8 @@
 
 // handle does what PROTOCOL.md says of every runner: another one's request gets 421, and the id is echoed.
 func (r *runner) handle(w http.ResponseWriter, req *http.Request) {
-	if target := req.Header.Get("Target-Instance"); target != "" && target != r.id {
-		w.Header().Set("Instance-Id", r.id)
+	if target := req.Header.Get(wire.Target); target != "" && target != r.id {
+		w.Header().Set(wire.Instance, r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/review/scene/site.go
+++ b/review/scene/site.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -98,74 +100,18 @@
 	return ports, nil
 }
 
-// bounds are those of the sheet "Kliko Rijn container-planning language fleet".
-const bounds = `[bounds]
-seed-lag-s = 3
-reuse-after-s = 2
-contact-ms = 3000
-ack-ms = 4000
-sync-s = 4
-drain-ms = 2000
-grace-s = 8
-loss-slack-ms = 200
-config-apply-ms = 2000
-rollback-slack-ms = 250
-max-stretch-ms = 5000
-budget-ratio = 0.2
-budget-window-s = 10
-budget-extra = 56
-recovery-s = 12
-transit-ms = 120
-retry-after-s = 3
-fence-required = false
-lease-ms = 3000
-thaw-slack-ms = 300
-`
-
 // newGateway prepares the settings of a machine with an address of its own, since the port of the metrics is fixed.
-func (s *site) newGateway(zone string) (*process, error) {
+func (s *site) newGateway() (*process, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+os.Getpid()/200%200, 10+len(s.gateways))
 	ports, err := freePorts(ip, 3)
 	if err != nil {
 		return nil, err
 	}
-	g := &process{site: s, name: fmt.Sprintf("front-%s-%d", zone, len(s.gateways)+1)}
+	g := &process{site: s, name: fmt.Sprintf("front-hal-noord-%d", len(s.gateways)+1)}
 	g.callers, g.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 	g.settings = filepath.Join(s.dir, g.name+".toml")
-	text := fmt.Sprintf(`node-name = %q
-role = "gateway"
-machine-class = "front"
-serves = ["front"]
-ip = %q
-zone = %q
-region = "rijnmond"
-port-range = [%d,%d]
-seeds = []
-bootstrap = true
-heartbeat-ms = 1200
-[zones]
-%s = "rijnmond"
-[listen]
-front = %q
-ready = %q
-[limits]
-cpu-share = 0.4
-cores = 1
-memory-mb = 284
-max-fds = 4100
-link-mbps = 1000.0
-disk-mb = 0
-[tolerance]
-machines = 2
-zones = 1
-regions = 0
-%s[platform]
-address = %q
-form = "table"
-writes-per-s = 400
-reads-per-s = 2000
-history-s = 20
-`, g.name, ip, zone, ports[2], ports[2]+1, zone, g.callers, g.ready, bounds, s.store.Addr())
+	text := strings.NewReplacer("NAME", g.name, "IP", ip, "FIRST", strconv.Itoa(ports[2]), "LAST", strconv.Itoa(ports[2]+1),
+		"FRONT", g.callers, "READY", g.ready, "STORE", s.store.Addr()).Replace(settingsForm)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -180,7 +126,7 @@
 		return err
 	}
 	cmd := exec.Command("target/springweir-gateway", "--config", "deploy/gateway.ini")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + g.site.dir, "SPRINGWEIR_SETTINGS=" + g.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + g.site.dir, wire.Settings + "=" + g.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -247,42 +193,15 @@
 	return nil
 }
 
-// route is a route in the operator's format.
-type route map[string]any
-
+// Services of the configuration, and the host of its routes.
 const (
-	llm = "taalwerk"
-	app = "boekhuis"
+	llm  = "taalwerk"
+	app  = "boekhuis"
+	host = "ficu95.example"
 )
 
-// putConfig writes the configuration with the routes of the sheet.
-func (s *site) putConfig(version int, routes ...route) {
-	s.store.Put("op", "config", map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{
-			{"name": llm, "health-path": "/health", "max-conns": 300, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 48, "kv-capacity": 305000, "kv-token-bytes": 131072, "link-mbps": 8800000.0, "moves": true, "backups": false,
-				"handle-ttl-s": 5.0, "switch-s": 3.0, "pin-ms": 4000.0, "hold-ms": 2000.0, "models": []map[string]any{{"name": "m"}},
-			}},
-			{"name": app, "health-path": "/health", "max-conns": 110, "protocol": "h1", "tls": false},
-		},
-		"limits": map[string]any{"header-bytes": 16384, "body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
-}
-
-const host = "ficu95.example"
-
-// chatRoute is the route of the sheet's driver-chat, confirmRoute that of slot-confirm.
-var (
-	chatRoute = route{
-		"name": "driver-chat", "host": host, "path-prefix": "/chat/", "kind": "streaming", "timeout-ms": 15000, "slo-ms": 250, "priority": 1,
-		"service": llm, "max-attempts": 1, "sticky": true, "resumable": false, "gap-slo-ms": 150,
-	}
-	confirmRoute = route{
-		"name": "slot-confirm", "host": host, "path-prefix": "/confirm/", "kind": "non_idempotent", "timeout-ms": 600, "slo-ms": 100, "priority": 2,
-		"service": app, "max-attempts": 1,
-	}
-)
+// putConfig writes the configuration.
+func (s *site) putConfig() { s.store.Put("op", "config", configuration) }
 
 // startRunner starts a runner of the project's stand-ins.
 func (s *site) startRunner(o standin.EndpointOptions) (*standin.Endpoint, error) {
