gateway, entry, controller: no signal ends a process before its streams

Cause: the receiver of SIGHUP ended with the context that SIGTERM cancels and took its registration with it, so that SIGHUP had its default action again. Signals were handled for a shorter time than the process lives.

Ruled out: a second SIGTERM or SIGINT, SIGUSR1 and SIGUSR2, invalid or missing settings at a hangup during a stop (these cases pass before the change).

Change: package internal/lifecycle registers the signals when it is initialized, before settings are read, and until the process has exited.

--- a/cmd/springweir-gateway/main.go
+++ b/cmd/springweir-gateway/main.go
@@ -3,16 +3,14 @@
 package main
 
 import (
-	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/gateway"
+	"github.com/springweir/springweir/internal/lifecycle"
 	"github.com/springweir/springweir/internal/logs"
 	"github.com/springweir/springweir/platform"
 	"github.com/springweir/springweir/settings"
@@ -49,16 +47,13 @@
 			stop := logs.Start(os.Stdout, logs.Options{PerSecond: int(gatewaySettings.LogRate), Level: slog.Level(-gatewaySettings.LogLevel)})
 			defer stop()
 			g := platform.New(loaded)
-			go o.reload(cmd.Context(), g)
+			lifecycle.OnHangup(func() { o.reload(g) })
 			return g.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&o.platform, "platform", os.Getenv(platform.SettingsVariable), "the platform's settings file of this VM")
 	cmd.Flags().StringVar(&o.gateway, "config", "", "the gateway file; without one every key has its default")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	err := cmd.ExecuteContext(ctx)
-	stop()
-	if err != nil {
+	if err := lifecycle.Run(cmd.ExecuteContext); err != nil {
 		_, _ = os.Stderr.WriteString("springweir-gateway: " + err.Error() + "\n")
 		os.Exit(code)
 	}
@@ -81,23 +76,12 @@
 	return settings.LoadGateway(o.gateway)
 }
 
-// reload reloads the settings at each SIGHUP until ctx ends. Invalid files leave the
-// settings unchanged.
-func (o *options) reload(ctx context.Context, g *gateway.Gateway) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
-		_, loaded, err := o.load()
-		if err != nil {
-			klog.ErrorS(err, "gateway: settings not reloaded, the present ones stay")
-			continue
-		}
-		g.Reload(loaded)
+// reload reads both settings files again. Invalid files leave the settings unchanged.
+func (o *options) reload(g *gateway.Gateway) {
+	_, loaded, err := o.load()
+	if err != nil {
+		klog.ErrorS(err, "gateway: settings not reloaded, the present ones stay")
+		return
 	}
+	g.Reload(loaded)
 }
--- a/cmd/springweir-standin/main.go
+++ b/cmd/springweir-standin/main.go
@@ -13,7 +13,8 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer stop()
 	root := &cobra.Command{
 		Use:           "springweir-standin",
 		Short:         "Run a stand-in for the platform, an engine or a service",
@@ -21,9 +22,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newPlatformCommand(), newEngineCommand(), newServiceCommand())
-	err := root.ExecuteContext(ctx)
-	stop()
-	if err != nil {
+	if err := root.ExecuteContext(ctx); err != nil {
 		klog.Errorf("standin: %v", err)
 		klog.Flush()
 		os.Exit(1)
--- a/cmd/springweirctl/main.go
+++ b/cmd/springweirctl/main.go
@@ -14,7 +14,6 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	code := cli.New().Run(ctx, os.Args[1:])
-	stop()
-	os.Exit(code)
+	context.AfterFunc(ctx, stop) // a second interrupt ends the process at once
+	os.Exit(cli.New().Run(ctx, os.Args[1:]))
 }
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -18,6 +18,38 @@
 	return s, a, b
 }
 
+// TestSignalsCutNothing checks that neither SIGHUP, while an entry and a controller serve or stop, nor a second SIGTERM
+// ends them before their requests. Every request must get a complete response.
+func TestSignalsCutNothing(t *testing.T) {
+	s := newSite(t)
+	a := s.addVM("vm1", "a")
+	s.addVM("vm2", "a")
+	s.addEngine("engine-1", "a", "language", "mixed", "checked", "--speed", "0.33")
+	s.addEngine("engine-2", "a", "language", "mixed", "ignored", "--speed", "0.33")
+	s.addService("slots-1", "a")
+	s.startAll()
+	l := s.startLoad(8, s.vms, func() request { return request{model: "chat", prompt: promptOf(90)} }, s.newCall)
+	l.awaitMore(10)
+	l.awaitStream(a)
+	for _, p := range []*process{a.entry, a.controller} {
+		p.signal(t, syscall.SIGHUP)
+	}
+	l.awaitMore(10)
+	l.awaitStream(a)
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		a.entry.signal(t, signal)
+		time.Sleep(100 * time.Millisecond)
+	}
+	a.entry.awaitExit(t)
+	s.startEntry(a)
+	await(t, "the restarted entry is ready", func() bool { return ready(a) })
+	l.awaitMore(10)
+	a.controller.signal(t, syscall.SIGTERM)
+	a.controller.signal(t, syscall.SIGHUP)
+	a.controller.awaitExit(t)
+	s.check(l.stop(), complete)
+}
+
 // TestPlannedStopsCutNothing stops a controller, an entry, and both programs of a VM under load.
 // The entries have open streams that last much longer than balancerDelay. Every request must get
 // a complete response.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,13 +6,12 @@
 	"context"
 	"flag"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"github.com/springweir/springweir/internal/lifecycle"
 	"github.com/springweir/springweir/settings"
 )
 
@@ -54,9 +53,8 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "/etc/springweir/vm.ini", "settings file of this VM")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := cmd.ExecuteContext(ctx); err != nil {
+	lifecycle.OnHangup(func() { klog.InfoS("daemon: hangup has no effect, changed settings need a restart") })
+	if err := lifecycle.Run(cmd.ExecuteContext); err != nil {
 		klog.Flush()
 		_, _ = os.Stderr.WriteString(s.Name + ": " + err.Error() + "\n")
 		return max(code, exitFailed)
