memory: bound the bytes of requests and responses that a process holds

Cause: bytes were bounded for each request or connection, not for the process. Bodies of callers and of other VMs, heads that arrive, responses that callers read slowly and long events of streams had no common bound.

Change: package memory. Whoever holds bytes of a request or response has a reservation of a budget of the process, sized by memory-mb. A request without room is refused before its body is read: 503 memory-full, not run, with a time to come back by the rate of releases; the rest of the body is discarded, so that the refusal arrives. A reservation leaves four times its size free, so that few large requests never take the room of small ones. The collector has a limit too, which alone would turn a kill into a hang.

relay.TestBodyMemoryIsShared replaces the test of the same name: the budget is now never exceeded (it was by a factor of two), and counts until the caller has taken the response, which the test asks for.

--- a/caller/config.go
+++ b/caller/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/memory"
 )
 
 // Organisation is a caller's organisation.
@@ -101,6 +102,8 @@
 	// Limits apply until the model or service of a request is known, and default the limits of each
 	// model and service.
 	Limits
+	// Memory bounds the requests that are held at a time (default: that of a VM of memory.DefaultVM).
+	Memory *memory.Budget
 	// WriteTimeout bounds the write of one chunk to a slow caller.
 	WriteTimeout time.Duration
 }
@@ -136,6 +139,9 @@
 	if c.MaxDeadline == 0 {
 		c.MaxDeadline = DefaultMaxDeadline
 	}
+	if c.Memory == nil {
+		c.Memory = memory.NewBudget(memory.LimitsOf(memory.DefaultVM).Requests, nil)
+	}
 	if c.WriteTimeout == 0 {
 		c.WriteTimeout = DefaultWriteTimeout
 	}
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -14,6 +14,7 @@
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/memory"
 )
 
 func (h *Handler) chat(x *exchange) *failure.Request {
@@ -77,13 +78,24 @@
 	return req, nil
 }
 
-// readBody reads the body within the request's deadline.
+// readBody reads the body within the request's deadline. It is held until the request ends.
 func readBody(x *exchange, l Limits) ([]byte, *failure.Request) {
 	rc := http.NewResponseController(x.w)
 	// Writers without deadline support, such as those in tests, return an error that is ignored.
 	_ = rc.SetReadDeadline(x.work.Deadline)
 	// The server keeps reading from the connection to detect a disconnect of the caller.
 	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	if x.r.ContentLength > l.MaxBody {
+		return nil, tooLarge()
+	}
+	size := x.r.ContentLength
+	if size < 0 {
+		size = l.MaxBody
+	}
+	var full *memory.FullError
+	if errors.As(x.held.Resize(memory.RequestOverhead+size), &full) {
+		return nil, full.Refusal()
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, l.MaxBody))
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/forward"
 	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/memory"
 )
 
 // Handler serves the HTTP API for callers. It is safe for concurrent use.
@@ -42,6 +43,8 @@
 	work  *forward.Work
 	kind  kind
 	start time.Time
+	// held is the memory of the request.
+	held *memory.Reservation
 	// org is the caller's organisation.
 	org Organisation
 	// requestedTimeout is the time until the deadline that the caller requested, or zero.
@@ -60,7 +63,8 @@
 		work := &forward.Work{ID: rand.Text(), FromOtherZone: r.Header.Get(wire.HeaderHop) != ""}
 		w.Header().Set(wire.HeaderRequest, work.ID)
 		hop.EchoAttempt(w.Header(), r.Header)
-		x := &exchange{w: w, r: r, work: work, kind: k, start: start}
+		x := &exchange{w: w, r: r, work: work, kind: k, start: start, held: h.cfg.Memory.Open()}
+		defer x.held.Release()
 		failed := h.readHeaders(x)
 		if work.FromOtherZone {
 			x.kind = kindHop
--- a/cmd/springweir-gateway/main.go
+++ b/cmd/springweir-gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/gateway"
 	"github.com/springweir/springweir/internal/lifecycle"
 	"github.com/springweir/springweir/internal/logs"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/platform"
 	"github.com/springweir/springweir/settings"
 )
@@ -46,6 +47,7 @@
 			}
 			stop := logs.Start(os.Stdout, logs.Options{PerSecond: int(gatewaySettings.LogRate), Level: slog.Level(-gatewaySettings.LogLevel)})
 			defer stop()
+			memory.LimitHeap(loaded.Memory)
 			g := platform.New(loaded)
 			lifecycle.OnHangup(func() { o.reload(g) })
 			return g.Run(cmd.Context())
--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -88,6 +88,8 @@
 	Stopping Reason = "stopping"
 	// NoSuchRoute is a host and path that match no route.
 	NoSuchRoute Reason = "no-such-route"
+	// MemoryFull is a request rejected because the requests that the VM holds leave no memory for it.
+	MemoryFull Reason = "memory-full"
 	// NoConfig is a request rejected by a VM that has not loaded a configuration yet.
 	NoConfig Reason = "no-config"
 	// CallerGone is a request whose caller disconnected.
@@ -190,6 +192,7 @@
 	NoSuchPath:           http.StatusNotFound,
 	TooLarge:             http.StatusRequestEntityTooLarge,
 	DeadlineUnreachable:  http.StatusServiceUnavailable,
+	MemoryFull:           http.StatusServiceUnavailable,
 	DeadlinePassed:       http.StatusGatewayTimeout,
 	QueueFull:            http.StatusServiceUnavailable,
 	OrganisationLimit:    http.StatusTooManyRequests,
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/memory"
+)
+
+// readBody reads the complete body so that it can be sent again on a retry, and accounts for it on the VM's link and in
+// its memory. A body for which there is no memory is refused before it is read, if its length is known.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, held *memory.Reservation) ([]byte, *failure.Request) {
+	if limit > 0 && r.ContentLength > limit {
+		return nil, tooLarge(nil)
+	}
+	overhead := memory.RequestOverhead + headBytes(r)
+	if failed := reserve(held, overhead+max(0, r.ContentLength)); failed != nil {
+		return nil, failed
+	}
+	if h.intake != nil {
+		defer h.intake.reading(r)()
+	}
+	source := io.Reader(r.Body)
+	if limit > 0 {
+		source = http.MaxBytesReader(w, r.Body, limit)
+	}
+	bounded := &stallReader{body: source, deadline: stallDeadline{stall: h.stall, set: http.NewResponseController(w).SetReadDeadline}}
+	defer bounded.deadline.remove()
+	if r.ContentLength < 0 {
+		return readUnknown(bounded, held, overhead)
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(bounded, body); err != nil {
+		return nil, readFailure(err)
+	}
+	return body, nil
+}
+
+// headBytes returns the approximate size of the head of a request in bytes.
+func headBytes(r *http.Request) int64 {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value)
+		}
+	}
+	return int64(n)
+}
+
+// minUnknownBody is the size in bytes of the first buffer for a body whose length is not known.
+const minUnknownBody = 4 << 10
+
+// readUnknown reads a body whose length is not known. Its buffer is doubled whenever it is full.
+func readUnknown(source io.Reader, held *memory.Reservation, overhead int64) ([]byte, *failure.Request) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := max(minUnknownBody, 2*cap(body))
+			if failed := reserve(held, overhead+int64(size+cap(body))); failed != nil {
+				return nil, failed
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			body = bytes.Clone(body)
+			return body, reserve(held, overhead+int64(len(body)))
+		case err != nil:
+			return nil, readFailure(err)
+		}
+	}
+}
+
+// reserve resizes a reservation. The failure says when the caller should retry.
+func reserve(held *memory.Reservation, bytes int64) *failure.Request {
+	var full *memory.FullError
+	if errors.As(held.Resize(bytes), &full) {
+		return full.Refusal()
+	}
+	return nil
+}
+
+// readFailure returns the failure of a request whose body could not be read.
+func readFailure(err error) *failure.Request {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return tooLarge(err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "nothing of the request's body came for too long", Cause: err}
+	}
+	return &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "the request broke off", Cause: err}
+}
+
+func tooLarge(err error) *failure.Request {
+	return &failure.Request{Code: failure.TooLarge, Ran: failure.NotRun, Message: "the body is over the limit", Cause: err}
+}
+
+const (
+	// maxDiscard is how long the rest of a refused request is read at most.
+	maxDiscard = 5 * time.Second
+	// maxDiscardedByServer is the size in bytes up to which net/http itself discards what is left of a body.
+	maxDiscardedByServer = 256 << 10
+)
+
+// isLong reports whether net/http closes the connection of a request whose body was not read.
+func isLong(r *http.Request) bool {
+	return r.ContentLength < 0 || r.ContentLength > maxDiscardedByServer
+}
+
+// discardBody sends what was written of a refusal, and then reads and discards the body: a caller that first sends the
+// whole request would otherwise find its connection reset, without the response.
+func discardBody(w http.ResponseWriter, r *http.Request, stall time.Duration) {
+	control := http.NewResponseController(w)
+	if r.Header.Get("Expect") != "" || control.Flush() != nil || control.SetReadDeadline(time.Now().Add(min(stall, maxDiscard))) != nil {
+		return // the body is not sent, or the caller has gone
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // the response was sent, however the request ends
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/loadshare"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/origin"
 	"github.com/springweir/springweir/placement"
 	"github.com/springweir/springweir/poison"
@@ -53,6 +54,8 @@
 	// Strength orders the VMs of a zone by relative capacity, such as the speed of their links in
 	// Mbit/s.
 	Strength int
+	// Memory is the memory of the VM in bytes, above which the process is killed; zero if it is not known.
+	Memory int64
 	// Grace is how long the platform waits between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// BalancerDelay is how long the platform's load balancer may keep sending new connections after
@@ -161,8 +164,11 @@
 	origins *origin.Tracker
 	// intake is nil if the bandwidth of the VM's link is not known.
 	intake *intake
-	roles  *rolechange.Controller
-	duties *duties.Runner
+	// requestMemory bounds the requests that this VM holds, of callers and other VMs, headMemory the heads that arrive,
+	// and responseMemory the responses.
+	requestMemory, headMemory, responseMemory *memory.Budget
+	roles                                     *rolechange.Controller
+	duties                                    *duties.Runner
 	// scaler is nil if the number of endpoints is not ordered.
 	scaler *scaling.Scaler
 	guard  *poison.Guard
@@ -192,6 +198,9 @@
 	if p.ObserveResponses != nil {
 		p.ObserveResponses(g.signals.Observe)
 	}
+	limits := memory.LimitsOf(s.Memory)
+	g.requestMemory, g.headMemory = memory.NewBudget(limits.Requests, nil), memory.NewBudget(limits.Heads, nil)
+	g.responseMemory = memory.NewBudget(limits.Responses, nil)
 	g.origins = g.newOrigins()
 	g.directory = directory.New(g.setEndpoints)
 	g.planner = placement.New(placement.Config{
@@ -226,7 +235,7 @@
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard, Origins: g.origins,
 		Router: g.state, Endpoints: g.directory.Snapshot, ShutdownAt: g.state.shutdownTime, Meter: g.meter(),
-		MaxEventBytes: s.EventLimit,
+		MaxEventBytes: s.EventLimit, Memory: g.responseMemory,
 	})
 	return g
 }
@@ -289,9 +298,9 @@
 	defer stopLeading()
 	group, workCtx := errgroup.WithContext(servingCtx)
 	callerServer := g.callerServer()
-	readinessServer := &http.Server{Handler: http.HandlerFunc(g.serveReadiness)}
-	peerServer := &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout}
-	metricsServer := &http.Server{Handler: http.HandlerFunc(g.serveMetrics)}
+	readinessServer := newServer(http.HandlerFunc(g.serveReadiness))
+	peerServer := newServer(g.peerHandler())
+	metricsServer := newServer(http.HandlerFunc(g.serveMetrics))
 	klog.InfoS("gateway: starting", "settings", g.settings)
 	// Listen for callers before the readiness check can succeed: otherwise a VM that receives its
 	// configuration at once would be ready while it refuses connections.
@@ -299,7 +308,7 @@
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return serveOn(callerServer, listener) })
+	group.Go(func() error { return serveOn(callerServer, &headListener{Listener: listener, memory: g.headMemory}) })
 	group.Go(func() error { return g.serve(readinessServer, g.settings.Readiness) })
 	group.Go(func() error { return g.serve(peerServer, g.settings.Peers) })
 	if g.settings.Metrics != "" {
@@ -362,18 +371,20 @@
 	maxHeaderBytes = 128 << 10
 )
 
+// newServer returns a server whose requests have bounded heads.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 func (g *Gateway) callerServer() *http.Server {
 	stall := cmp.Or(g.settings.CallerStall, callerStall)
-	return &http.Server{
-		Handler: &handler{codec: g.platform.Codec, relay: g.relay, state: g.state, quota: g.quota, intake: g.intake, stall: stall},
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			boundUnread(c, stall)
-			return connContext(ctx, c)
-		},
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	s := newServer(&handler{codec: g.platform.Codec, relay: g.relay, state: g.state, quota: g.quota, intake: g.intake, memory: g.requestMemory, stall: stall})
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		boundUnread(c, stall)
+		return connContext(ctx, c)
 	}
+	s.ConnState = trackHead
+	return s
 }
 
 // serve listens at an address and serves until the server is shut down.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,13 +5,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -19,6 +16,7 @@
 
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/organisation"
 	"github.com/springweir/springweir/prompt"
 	"github.com/springweir/springweir/quota"
@@ -61,6 +59,8 @@
 	quota *quota.Limiter
 	// intake is nil if the bandwidth of the VM's link is not known.
 	intake *intake
+	// memory bounds the requests that are held.
+	memory *memory.Budget
 	// stall is how long a caller may make no progress.
 	stall time.Duration
 }
@@ -68,6 +68,7 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := clock.Now() // includes the time the body takes to arrive
+	headArrived(r)
 	if h.state.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -76,7 +77,9 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
-	req, failed := h.buildRequest(w, r, call, received)
+	held := h.memory.Open()
+	defer held.Release()
+	req, failed := h.buildRequest(w, r, call, received, held)
 	if failed != nil {
 		h.reject(w, r, call.ID, failed)
 		return
@@ -104,8 +107,8 @@
 	return h.quota.Reserve(ctx, req.ID, o.Name, o.Limit.Cost(req.Prompt))
 }
 
-// buildRequest finds the route, identifies the caller and reads the body.
-func (h *handler) buildRequest(w http.ResponseWriter, r *http.Request, call Call, received time.Time) (*relay.Request, *failure.Request) {
+// buildRequest finds the route, identifies the caller and reads the body, whose memory it adds to held.
+func (h *handler) buildRequest(w http.ResponseWriter, r *http.Request, call Call, received time.Time, held *memory.Reservation) (*relay.Request, *failure.Request) {
 	config := h.state.config.Load()
 	if config == nil {
 		return nil, newRefusal(failure.NoConfig, "this VM knows no configuration yet")
@@ -118,7 +121,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	body, failed := h.readBody(w, r, config.Limits.BodyBytes)
+	body, failed := h.readBody(w, r, config.Limits.BodyBytes, held)
 	if failed != nil {
 		return nil, failed
 	}
@@ -150,36 +153,6 @@
 	return a
 }
 
-// readBody reads the complete body and accounts for it on the VM's link.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *failure.Request) {
-	if h.intake != nil {
-		defer h.intake.reading(r)()
-	}
-	return readBody(w, r, limit, h.stall)
-}
-
-// readBody reads the complete body so that it can be sent again on a retry. It fails if nothing of it arrives for
-// the time of a stall.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, stall time.Duration) ([]byte, *failure.Request) {
-	source := io.Reader(r.Body)
-	if limit > 0 {
-		source = http.MaxBytesReader(w, r.Body, limit)
-	}
-	bounded := &stallReader{body: source, deadline: stallDeadline{stall: stall, set: http.NewResponseController(w).SetReadDeadline}}
-	defer bounded.deadline.remove()
-	body, err := io.ReadAll(bounded)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, &failure.Request{Code: failure.TooLarge, Ran: failure.NotRun, Message: "the body is over the limit", Cause: err}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "nothing of the request's body came for too long", Cause: err}
-	case err != nil:
-		return nil, &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "the request broke off", Cause: err}
-	}
-	return body, nil
-}
-
 // finish records how a request ended, and responds with its failure if no response head was sent.
 func (h *handler) finish(w http.ResponseWriter, r *http.Request, req *relay.Request, result relay.Result) {
 	recordRequest(req, result)
@@ -218,10 +191,15 @@
 	return failed.Ran
 }
 
-// reject refuses a request before it reaches the relay.
+// reject refuses a request before it reaches the relay. Its body may not have been read.
 func (h *handler) reject(w http.ResponseWriter, r *http.Request, id string, failed *failure.Request) {
 	klog.InfoS("gateway: request rejected", "request", id, "host", r.Host, "path", withoutQuery(target(r)), "config", h.state.version(),
 		"configStale", h.state.configStale(), "failure", failed.Code, "cause", failed.Message)
+	if isLong(r) {
+		_ = http.NewResponseController(w).EnableFullDuplex() // supported by every HTTP/1 connection
+		w.Header().Set("Connection", "close")
+		defer discardBody(w, r, h.stall)
+	}
 	h.refuse(w, r, id, failed)
 }
 
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -119,8 +119,12 @@
 // intakeConnKey is the context key of the connection of a request.
 type intakeConnKey struct{}
 
-// connContext is the ConnContext of a server whose listener is an intakeListener.
+// connContext is the ConnContext of a server whose listener is an intakeListener, or a headListener of one.
 func connContext(ctx context.Context, c net.Conn) context.Context {
+	if head, ok := c.(*headConn); ok {
+		ctx = context.WithValue(ctx, headConnKey{}, head)
+		c = head.Conn
+	}
 	return context.WithValue(ctx, intakeConnKey{}, c)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/routes"
 )
@@ -57,6 +58,10 @@
 	if age, known := g.freshness.Age(); known {
 		metrics.WriteGaugeFloat64(w, "springweir_config_age_seconds", age.Seconds())
 	}
+	for part, budget := range map[string]*memory.Budget{"requests": g.requestMemory, "heads": g.headMemory, "responses": g.responseMemory} {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`springweir_memory_held_bytes{part=%q}`, part), uint64(budget.Held()))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`springweir_memory_limit_bytes{part=%q}`, part), uint64(budget.Total()))
+	}
 	metrics.WriteGaugeUint64(w, "springweir_endpoints", uint64(g.directory.Snapshot().Len()))
 	limits, backoffs := g.signals.Active()
 	metrics.WriteGaugeUint64(w, "springweir_endpoint_limits", uint64(limits))
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
@@ -36,7 +37,7 @@
 		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.responsiveVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
 		Hop: g.hopClient, Down: func(e *directory.Endpoint) bool { return g.planner.IsDown(e) },
 	})
-	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, RequestID: p.RequestID})
+	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, RequestID: p.RequestID, Memory: g.requestMemory})
 	if p.SetSender != nil {
 		p.SetSender(g.reach)
 	}
@@ -113,7 +114,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case !hop.Addressed(r):
-			mux.ServeHTTP(w, r)
+			g.servePeerCall(mux, w, r)
 		case g.state.isStopping():
 			hop.EchoAttempt(w.Header(), r.Header)
 			w.Header().Set("Connection", "close")
@@ -123,3 +124,18 @@
 		}
 	})
 }
+
+// maxPeerCall bounds the body of a call of another VM, in bytes. The largest are sums of usage.
+const maxPeerCall = 4 << 20
+
+// servePeerCall serves a call of another VM that is no request of a caller, within the memory for requests.
+func (g *Gateway) servePeerCall(mux http.Handler, w http.ResponseWriter, r *http.Request) {
+	held, err := g.requestMemory.Reserve(max(0, r.ContentLength))
+	if err != nil || r.ContentLength < 0 || r.ContentLength > maxPeerCall {
+		klog.ErrorS(err, "gateway: call of another VM refused", "path", r.URL.Path, "bytes", r.ContentLength)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer held.Release()
+	mux.ServeHTTP(w, r)
+}
--- a/gateway/response_writer_test.go
+++ b/gateway/response_writer_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/memory"
 )
 
 // serveChunks starts a server that writes chunks of a response with the given bound on a stall, and returns its
@@ -99,7 +100,8 @@
 	const stall = 300 * time.Millisecond
 	results := make(chan *failure.Request, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, failed := readBody(w, r, 0, stall)
+		h := &handler{memory: memory.NewBudget(16<<20, nil), stall: stall}
+		_, failed := h.readBody(w, r, 0, h.memory.Open())
 		results <- failed
 	}))
 	t.Cleanup(server.CloseClientConnections)
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -48,6 +48,9 @@
 // the time of a stall. A response that fits into the kernel's buffer would otherwise stay there until the connection is
 // idle for too long, or for ever while there are further requests.
 func boundUnread(c net.Conn, stall time.Duration) {
+	if head, ok := c.(*headConn); ok {
+		c = head.Conn
+	}
 	if counted, ok := c.(*intakeConn); ok {
 		c = counted.Conn
 	}
--- a/hop/failures_test.go
+++ b/hop/failures_test.go
@@ -23,6 +23,7 @@
 	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/h1"
 	"github.com/springweir/springweir/internal/pipenet"
+	"github.com/springweir/springweir/memory"
 )
 
 // countDials returns a dial function that counts.
@@ -335,3 +336,50 @@
 		}
 	}
 }
+
+// Guards against requests of other VMs that take a process over the memory of its VM: one for which there is no memory
+// must be refused as not run, and the memory must be free again once the others have ended.
+func TestRequestsBeyondMemoryAreRefused(t *testing.T) {
+	var hold chan struct{} // made in virtual time
+	reply := func(c net.Conn, r rawRequest) bool {
+		<-hold
+		return raw(emptyOK)(c, r)
+	}
+	inSite(t, reply, func(t *testing.T, s *site) {
+		hold = make(chan struct{})
+		s.cfg.Memory = memory.NewBudget(1<<20, nil)
+		s.startVM()
+		results := make(chan error, 20)
+		for range cap(results) {
+			go func() {
+				out := get()
+				out.Method, out.Body = http.MethodPost, make([]byte, 100<<10)
+				response, err := s.do(t.Context(), out)
+				if err == nil {
+					response.Close()
+				}
+				results <- err
+			}()
+		}
+		synctest.Wait()
+		if held := s.cfg.Memory.Held(); held == 0 || held > s.cfg.Memory.Total() {
+			t.Errorf("%d bytes of %d are held", held, s.cfg.Memory.Total())
+		}
+		close(hold)
+		served := 0
+		for range cap(results) {
+			err := <-results
+			var reported *hop.Error
+			switch {
+			case err == nil:
+				served++
+			case !errors.As(err, &reported) || !reported.Busy || !reported.NotRun():
+				t.Errorf("refused with %v", err)
+			}
+		}
+		synctest.Wait()
+		if served == 0 || served == cap(results) || s.cfg.Memory.Held() != 0 {
+			t.Errorf("%d of %d served, %d bytes held at the end", served, cap(results), s.cfg.Memory.Held())
+		}
+	})
+}
--- a/hop/server.go
+++ b/hop/server.go
@@ -14,6 +14,7 @@
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/memory"
 )
 
 // Defaults of Config.
@@ -40,6 +41,9 @@
 	MaxConcurrent int
 	// MaxBody bounds the body of a request, in bytes; zero is DefaultMaxBody.
 	MaxBody int64
+	// Memory bounds the requests that are held, together with those of others that share it; nil is a budget of
+	// its own.
+	Memory *memory.Budget
 }
 
 func (c Config) withDefaults() Config {
@@ -52,6 +56,9 @@
 	if c.MaxBody <= 0 {
 		c.MaxBody = DefaultMaxBody
 	}
+	if c.Memory == nil {
+		c.Memory = memory.NewBudget(memory.LimitsOf(memory.DefaultVM).Requests, nil)
+	}
 	return c
 }
 
@@ -118,6 +125,11 @@
 	}
 	ctx, cancel := withRemaining(r.Context(), start, remaining)
 	defer cancel()
+	held, err := s.cfg.Memory.Reserve(memory.RequestOverhead + max(0, r.ContentLength))
+	if err != nil {
+		return result{failed: notRun(failure.VMBusy, "this VM has no memory for the request now", err)}
+	}
+	defer held.Release()
 	body, failed := s.readBody(ctx, w, r)
 	if failed != nil {
 		return result{failed: failed}
@@ -149,16 +161,17 @@
 var pastDeadline = time.Unix(1, 0)
 
 // readBody reads the whole body before ctx ends. Until then net/http does not notice that the other
-// VM has gone.
+// VM has gone. A Client always states the length.
 func (s *Server) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request) ([]byte, *failure.Request) {
+	if r.ContentLength < 0 || r.ContentLength > s.cfg.MaxBody {
+		return nil, notRun(failure.TooLarge, "the body is over the limit, or of unknown length", nil)
+	}
 	control := http.NewResponseController(w)
 	stop := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(pastDeadline) })
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
 	inTime := stop()
-	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
-		return nil, notRun(failure.TooLarge, "the body is over the limit", err)
 	case !inTime:
 		w.Header().Set("Connection", "close") // its reads fail from now on
 		return nil, notRun(failure.DeadlinePassed, "the request did not arrive in time", context.Cause(ctx))
--- a/relay/config.go
+++ b/relay/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/memory"
 )
 
 // Config configures a Relay. Planner, Upstream, Budget and Endpoints are required; zero settings
@@ -26,6 +27,8 @@
 	// ShutdownAt returns when this VM's planned shutdown closes requests that are still open. A
 	// zero time, or a nil function, means that no shutdown is planned.
 	ShutdownAt func() time.Time
+	// Memory bounds the bytes of responses that are held at a time (default: that of a VM of memory.DefaultVM).
+	Memory *memory.Budget
 	// MaxResponseBytes bounds a response that is not a stream, in bytes (default 16 MiB).
 	MaxResponseBytes int64
 	// MaxEventBytes bounds one event of a stream, in bytes (default 1 MiB).
@@ -92,5 +95,8 @@
 	if cfg.MinStallTimeout == 0 {
 		cfg.MinStallTimeout = DefaultMinStallTimeout
 	}
-	return &Relay{cfg: cfg}
+	if cfg.Memory == nil {
+		cfg.Memory = memory.NewBudget(memory.LimitsOf(memory.DefaultVM).Responses, nil)
+	}
+	return &Relay{cfg: cfg, bodies: bodyReader{budget: cfg.Memory}}
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/memory"
 )
 
 // eventReader splits a text/event-stream into events. It leaves their bytes unchanged, so that the
@@ -14,7 +15,10 @@
 	source io.Reader
 	// limit bounds one event, and thus the buffer, in bytes.
 	limit int
-	buf   []byte
+	// memory holds what the buffer has beyond eventBuffer, and as much for each of the events that wait to be
+	// forwarded.
+	memory *memory.Reservation
+	buf    []byte
 	// start is the offset of the first unread byte; the bytes between start and scanned contain no
 	// end of an event.
 	start, scanned int
@@ -28,8 +32,15 @@
 	id int
 }
 
-func newEventReader(source io.Reader, limit int) *eventReader {
-	return &eventReader{source: source, limit: limit}
+const (
+	// eventBuffer is the size in bytes by which the buffer grows at least. It fits most events.
+	eventBuffer = 4 << 10
+	// eventCopies is the number of copies of an event in memory: in the buffer, waiting, and being written.
+	eventCopies = 3
+)
+
+func newEventReader(source io.Reader, limit int, reservation *memory.Reservation) *eventReader {
+	return &eventReader{source: source, limit: limit, memory: reservation}
 }
 
 // next returns the next complete event, whose bytes are valid until the next call. It returns
@@ -87,16 +98,38 @@
 		r.err = h1.NewLimitError(h1.Event, int64(r.limit))
 		return
 	}
-	if cap(r.buf)-len(r.buf) < 1<<10 {
-		grown := make([]byte, len(r.buf), min(2*cap(r.buf), r.limit)+4<<10)
-		copy(grown, r.buf)
-		r.buf = grown
+	r.shrink()
+	if r.err = r.grow(); r.err != nil {
+		return
 	}
 	n, err := r.source.Read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
 	r.err = err
 }
 
+// shrink gives up the buffer of a long event that was passed on.
+func (r *eventReader) shrink() {
+	if len(r.buf) == 0 && cap(r.buf) > 2*eventBuffer {
+		r.buf, r.scanned = nil, 0
+		r.memory.Release()
+	}
+}
+
+// grow makes room in the buffer. The error is *h1.LimitError.
+func (r *eventReader) grow() error {
+	if cap(r.buf)-len(r.buf) >= 1<<10 {
+		return nil
+	}
+	size := min(2*cap(r.buf), r.limit) + eventBuffer
+	if err := r.memory.Resize(int64(eventCopies * (size - eventBuffer))); err != nil {
+		return h1.NewLimitError(h1.Bodies, r.memory.Total())
+	}
+	grown := make([]byte, len(r.buf), size)
+	copy(grown, r.buf)
+	r.buf = grown
+	return nil
+}
+
 // eventID returns the number in an event's id field, or 0 if there is none.
 func eventID(raw []byte) int {
 	for line := range bytes.Lines(raw) {
--- a/relay/eventstream.go
+++ b/relay/eventstream.go
@@ -9,6 +9,7 @@
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/watchdog"
+	"github.com/springweir/springweir/memory"
 )
 
 // openStream is a streamed response in progress. Its events are read in a goroutine of their own, so
@@ -78,10 +79,14 @@
 )
 
 // start reads the events of the response, each up to maxEvent bytes long, until its end or until the stream is
-// closed.
-func (s *openStream) start(maxEvent int) {
+// closed. Long events are held in memory of the budget.
+func (s *openStream) start(maxEvent int, budget *memory.Budget) {
 	s.items, s.closed = make(chan streamItem, 1), make(chan struct{})
-	go s.read(newEventReader(s.response, maxEvent))
+	reservation := budget.Open()
+	go func() {
+		defer reservation.Release()
+		s.read(newEventReader(s.response, maxEvent, reservation))
+	}()
 }
 
 // read passes on the events and closes the response once it has ended.
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/memory"
 )
 
 // pieceBytes is the size in bytes of the pieces of a long body.
@@ -22,115 +23,114 @@
 	return int64(n)
 }
 
-const (
-	// bodyShare is the part of a body in bytes that every response may have in memory.
-	bodyShare = 1 << 20
-	// bodyBudget bounds in bytes what the bodies that are being read have beyond bodyShare, all together: endpoints
-	// that send bodies without end are read up to the limit of one body, several at a time. One body of the default
-	// MaxResponseBytes fits, and VMs have 144 MB.
-	bodyBudget = 16 << 20
-)
+// maxFreePieces bounds the pieces that are kept for later bodies.
+const maxFreePieces = 64
 
-// bodyMemory is the memory of the bodies that are being read, beyond bodyShare each. If it is exhausted, a body may
-// only grow up to an equal share of it: nothing waits, and few long bodies cannot make many shorter ones fail. The sum
-// is at most twice the budget. It is safe for concurrent use.
-type bodyMemory struct {
-	// mu guards the fields below. It is a leaf lock.
-	mu      sync.Mutex
-	held    int64
-	readers int64
-	// free holds pieces that are not used any more, so that many long bodies one after the other leave no garbage.
+// freePieces holds pieces that are not used any more, so that many long bodies one after the other leave no garbage.
+// It is safe for concurrent use; mu is a leaf lock.
+type freePieces struct {
+	mu   sync.Mutex
 	free []*[pieceBytes]byte
 }
 
-// maxFreePieces bounds the pieces that are kept for later bodies.
-const maxFreePieces = bodyBudget / 2 / pieceBytes
-
-// piece returns a piece.
-func (m *bodyMemory) piece() *[pieceBytes]byte {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := len(m.free)
+// take returns a piece.
+func (f *freePieces) take() *[pieceBytes]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.free)
 	if n == 0 {
 		return new([pieceBytes]byte)
 	}
-	p := m.free[n-1]
-	m.free = m.free[:n-1]
+	p := f.free[n-1]
+	f.free = f.free[:n-1]
 	return p
 }
 
-// recycle returns the pieces of a body, which must not be used any more.
-func (m *bodyMemory) recycle(body pieces) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// put returns the pieces of a body, which must not be used any more.
+func (f *freePieces) put(body pieces) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, p := range body {
-		if cap(p) >= pieceBytes && len(m.free) < maxFreePieces {
-			m.free = append(m.free, (*[pieceBytes]byte)(p[:pieceBytes]))
+		if cap(p) >= pieceBytes && len(f.free) < maxFreePieces {
+			f.free = append(f.free, (*[pieceBytes]byte)(p[:pieceBytes]))
 		}
 	}
 }
 
-// grow adds n bytes to a body that holds own ones, and reports whether it may have them.
-func (m *bodyMemory) grow(own, n int64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	readers := m.readers
-	if own == 0 {
-		readers++
-	}
-	if m.held+n > bodyBudget && (own+n)*readers > bodyBudget {
-		return false
-	}
-	m.held, m.readers = m.held+n, readers
-	return true
+// bodyReader reads bodies of responses into memory.
+type bodyReader struct {
+	// budget bounds the bodies that are held, all together.
+	budget *memory.Budget
+	free   freePieces
 }
 
-// release returns what a body holds, once it was read.
-func (m *bodyMemory) release(own int64) {
-	if own == 0 {
-		return
+// heldBody is a body in memory. release must be called once the body is not used any more.
+type heldBody struct {
+	pieces
+	reader      *bodyReader
+	reservation *memory.Reservation
+}
+
+// release returns the memory of the body. Further calls do nothing.
+func (b *heldBody) release() {
+	b.reader.free.put(b.pieces)
+	b.pieces = nil
+	b.reservation.Release()
+}
+
+// grow takes memory for n further bytes.
+func (b *heldBody) grow(n int64) error {
+	if err := b.reservation.Resize(b.reservation.Bytes() + n); err != nil {
+		return h1.NewLimitError(h1.Bodies, b.reader.budget.Total())
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.held -= own
-	m.readers--
+	return nil
 }
 
 // read reads a body of up to limit bytes, whose size is -1 if it is not known. The error is *h1.LimitError if the body
 // is longer or there is no memory for it, and then nothing of it is returned.
-func (m *bodyMemory) read(source io.Reader, size, limit int64) (pieces, error) {
-	source = io.LimitReader(source, limit+1)
-	var p pieces
-	var own, length int64
-	var err error
-	defer func() { m.release(own) }()
-	last := pieceBytes
-	if size <= pieceBytes {
-		var first []byte
-		first, err = io.ReadAll(io.LimitReader(source, pieceBytes))
-		p, last, length = pieces{first}, len(first), int64(len(first))
-	}
-	for last == pieceBytes && err == nil {
-		if length >= bodyShare {
-			if !m.grow(own, pieceBytes) {
-				m.recycle(p)
-				return nil, h1.NewLimitError(h1.Bodies, bodyBudget)
-			}
-			own += pieceBytes
-		}
-		piece := m.piece()
-		last, err = fill(source, piece[:])
-		p = append(p, piece[:last])
-		length += int64(last)
-	}
-	if err == nil && length > limit {
+func (r *bodyReader) read(source io.Reader, size, limit int64) (*heldBody, error) {
+	body := &heldBody{reader: r, reservation: r.budget.Open()}
+	err := body.readFrom(io.LimitReader(source, limit+1), size)
+	if err == nil && body.length() > limit {
 		err = h1.NewLimitError(h1.Body, limit)
 	}
 	if err != nil {
-		m.recycle(p)
+		body.release()
 		return nil, err
 	}
-	return p, nil
+	return body, nil
+}
+
+// readFrom appends the rest of a source, whose size is -1 if it is not known.
+func (b *heldBody) readFrom(source io.Reader, size int64) error {
+	if size >= 0 && size < pieceBytes {
+		return b.readShort(source, size)
+	}
+	for last := pieceBytes; last == pieceBytes; {
+		if err := b.grow(pieceBytes); err != nil {
+			return err
+		}
+		piece := b.reader.free.take()
+		var err error
+		last, err = fill(source, piece[:])
+		b.pieces = append(b.pieces, piece[:last])
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readShort reads a body of less than a piece. The buffer has room for one byte more, so that the end of the source is
+// read too.
+func (b *heldBody) readShort(source io.Reader, size int64) error {
+	if err := b.grow(size + 1); err != nil {
+		return err
+	}
+	piece := make([]byte, size+1)
+	n, err := fill(source, piece)
+	b.pieces = pieces{piece[:n]}
+	return err
 }
 
 // fill reads until b is full or the source ends, which is no error.
--- a/relay/pieces_test.go
+++ b/relay/pieces_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/iotest"
 
 	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/memory"
 )
 
 // limitPart returns the part of a *h1.LimitError, or "" for another error.
@@ -22,63 +24,111 @@
 // A body must arrive unchanged whatever its length, one that breaks off must not pass for whole, and one over the limit
 // must not be read further.
 func TestReadPieces(t *testing.T) {
-	var m bodyMemory
-	const limit = bodyShare + 4*pieceBytes + 10
-	for _, size := range []int{0, 1, pieceBytes - 1, pieceBytes, pieceBytes + 1, 2 * pieceBytes, bodyShare, limit - 1, limit, limit + 1, 2 * limit} {
+	r := bodyReader{budget: memory.NewBudget(16<<20, nil)}
+	const limit = 20*pieceBytes + 10
+	for _, size := range []int{0, 1, pieceBytes - 1, pieceBytes, pieceBytes + 1, 2 * pieceBytes, 16 * pieceBytes, limit - 1, limit, limit + 1, 2 * limit} {
 		body := make([]byte, size)
 		for i := range body {
 			body[i] = byte(i * 7 / 5)
 		}
 		for _, length := range []int64{-1, int64(size)} {
-			testRead(t, &m, body, length, limit)
+			testRead(t, &r, body, length, limit)
 		}
 	}
-	if m.held != 0 || m.readers != 0 {
-		t.Errorf("%d bytes of %d readers are still held", m.held, m.readers)
+	if held := r.budget.Held(); held != 0 {
+		t.Errorf("%d bytes are still held", held)
 	}
 }
 
-func testRead(t *testing.T, m *bodyMemory, body []byte, length, limit int64) {
+func testRead(t *testing.T, r *bodyReader, body []byte, length, limit int64) {
 	size := len(body)
-	p, err := m.read(iotest.HalfReader(bytes.NewReader(body)), length, limit)
+	got, err := r.read(iotest.HalfReader(bytes.NewReader(body)), length, limit)
 	if int64(size) > limit {
-		if limitPart(err) != h1.Body || p != nil {
+		if limitPart(err) != h1.Body || got != nil {
 			t.Errorf("%d bytes: got %v", size, err)
 		}
 		return
 	}
-	if err != nil || !bytes.Equal(bytes.Join(p, nil), body) || p.length() != int64(size) {
+	if err != nil || !bytes.Equal(bytes.Join(got.pieces, nil), body) || got.length() != int64(size) {
 		t.Errorf("%d bytes: another body, %v", size, err)
 	}
-	m.recycle(p)
+	if held := r.budget.Held(); held < int64(size) {
+		t.Errorf("%d bytes are counted of a body of %d that is not released", held, size)
+	}
+	got.release()
+	got.release()
 	for _, end := range []error{io.ErrUnexpectedEOF, io.ErrClosedPipe} {
 		source := io.MultiReader(bytes.NewReader(body), iotest.ErrReader(end))
-		if p, err := m.read(source, length, limit); !errors.Is(err, end) || p != nil {
+		if got, err := r.read(source, length, limit); !errors.Is(err, end) || got != nil {
 			t.Errorf("%d bytes and %v: got %v", size, end, err)
 		}
 	}
 }
 
-// Several bodies without end must not take more memory than the budget, nor make a shorter one fail.
+// Several bodies without end, whose callers don't read them, must not take more memory than the budget, nor make a
+// shorter one fail.
 func TestBodyMemoryIsShared(t *testing.T) {
-	var m bodyMemory
-	const long = bodyBudget / 2
-	for range 2 {
-		for own := int64(0); own < long; own += pieceBytes {
-			if !m.grow(own, pieceBytes) {
-				t.Fatalf("refused at %d bytes", own)
+	const total = 16 << 20
+	r := bodyReader{budget: memory.NewBudget(total, nil)}
+	endless := iotest.DataErrReader(zeroes{})
+	var long []*heldBody
+	for range 100 {
+		body, err := r.read(io.LimitReader(endless, 3<<20), -1, 4<<20)
+		if err != nil {
+			if limitPart(err) != h1.Bodies {
+				t.Fatal(err)
+			}
+			continue
+		}
+		long = append(long, body)
+	}
+	if held := r.budget.Held(); held > total || len(long) < 3 {
+		t.Errorf("%d long bodies hold %d bytes of %d", len(long), held, total)
+	}
+	for _, size := range []int64{1, 800, pieceBytes, 8 * pieceBytes} {
+		body, err := r.read(io.LimitReader(endless, size), -1, 4<<20)
+		if err != nil {
+			t.Errorf("a body of %d bytes was refused beside the long ones: %v", size, err)
+			continue
+		}
+		body.release()
+	}
+}
+
+// zeroes is a source without end.
+type zeroes struct{}
+
+// Read implements io.Reader.
+func (zeroes) Read(b []byte) (int, error) { return len(b), nil }
+
+// A stream must hold memory for its long events only, and no more than there is.
+func TestLongEventsAreBounded(t *testing.T) {
+	budget := memory.NewBudget(8<<20, nil)
+	long := "data: " + strings.Repeat("z", 512<<10) + "\n\n"
+	var readers []*eventReader
+	refused := 0
+	for range 20 {
+		r := newEventReader(strings.NewReader(long+"data: short\n\n"), DefaultMaxEventBytes, budget.Open())
+		readers = append(readers, r)
+		if _, err := r.next(); err != nil {
+			if limitPart(err) != h1.Bodies {
+				t.Fatal(err)
 			}
+			refused++
 		}
 	}
-	if m.grow(long, pieceBytes) {
-		t.Error("the budget is exhausted, and a long body grew")
+	if held := budget.Held(); held > budget.Total() || refused == 0 || refused == 20 {
+		t.Errorf("%d of 20 long events refused, %d bytes held of %d", refused, held, budget.Total())
 	}
-	for own := int64(0); own < bodyBudget/3-pieceBytes; own += pieceBytes {
-		if !m.grow(own, pieceBytes) {
-			t.Fatalf("a short body was refused at %d bytes", own)
+	for _, r := range readers {
+		for r.err == nil {
+			if _, err := r.next(); err != nil && err != io.EOF {
+				t.Error(err)
+			}
 		}
+		r.memory.Release()
 	}
-	if m.grow(bodyBudget/3, pieceBytes) || m.held > 2*bodyBudget {
-		t.Errorf("%d bytes are held", m.held)
+	if held := budget.Held(); held != 0 {
+		t.Errorf("%d bytes are still held", held)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,7 +15,7 @@
 // Relay forwards requests to endpoints. It is safe for concurrent use.
 type Relay struct {
 	cfg    Config
-	bodies bodyMemory
+	bodies bodyReader
 	slow   slowBudget
 }
 
@@ -47,6 +47,7 @@
 	defer cancel()
 	job := &job{relay: r, req: req, writer: writer, lastEventID: req.LastEventID, ran: failure.NotRun}
 	job.run(ctx)
+	job.dropFallback()
 	return job.result
 }
 
@@ -319,7 +320,7 @@
 		return failed
 	}
 	j.current = s
-	s.start(j.relay.cfg.MaxEventBytes)
+	s.start(j.relay.cfg.MaxEventBytes, j.relay.cfg.Memory)
 	return j.forward(s)
 }
 
--- a/relay/response.go
+++ b/relay/response.go
@@ -21,7 +21,7 @@
 // bufferedResponse is a response whose body was read completely.
 type bufferedResponse struct {
 	response Response
-	body     pieces
+	body     *heldBody
 }
 
 // forwardBuffered reads the complete response before it forwards any of it, so that the caller
@@ -33,6 +33,7 @@
 		return failed
 	}
 	if j.result.HeadSent {
+		body.release()
 		return &failure.Request{
 			Code: failure.EndpointFailed, Ran: failure.Unknown,
 			Message: fmt.Sprintf("the endpoint answered %d in the middle of a stream", response.Status()),
@@ -43,18 +44,33 @@
 	}
 	buffered := &bufferedResponse{response: response, body: body}
 	if response.Status() >= http.StatusInternalServerError && (j.holdsStream() || j.mayRetryElsewhere(ctx)) {
-		j.fallback = buffered
+		j.keepFallback(buffered)
 		return &failure.Request{
 			Code: failure.EndpointFailed, Ran: failure.Done,
 			Message: fmt.Sprintf("the endpoint answered %d", response.Status()),
 		}
 	}
 	if failed := j.commitReplacement(); failed != nil {
+		body.release()
 		return failed
 	}
 	return j.sendBuffered(buffered)
 }
 
+// keepFallback keeps an error response instead of the one kept before.
+func (j *job) keepFallback(b *bufferedResponse) {
+	j.dropFallback()
+	j.fallback = b
+}
+
+// dropFallback releases the error response that is kept, if there is one.
+func (j *job) dropFallback() {
+	if j.fallback != nil {
+		j.fallback.body.release()
+		j.fallback = nil
+	}
+}
+
 // holdsStream reports whether a silent stream is held that may go on.
 func (j *job) holdsStream() bool { return j.held != nil && j.held.isHeld() }
 
@@ -70,13 +86,13 @@
 	return !bounded || clock.Until(deadline) > route.Objective
 }
 
-// sendBuffered sends a buffered response to the caller. Its body must not be used afterwards.
+// sendBuffered sends a buffered response to the caller and releases it.
 func (j *job) sendBuffered(buffered *bufferedResponse) *failure.Request {
-	defer j.relay.bodies.recycle(buffered.body)
+	defer buffered.body.release()
 	if failed := j.sendHead(buffered.response, buffered.body.length()); failed != nil {
 		return failed
 	}
-	for _, piece := range buffered.body {
+	for _, piece := range buffered.body.pieces {
 		if len(piece) == 0 {
 			continue
 		}
@@ -89,7 +105,7 @@
 
 // readAll reads the body of a response, which fails if it exceeds MaxResponseBytes, or h1.MaxFailureBody if it is no
 // success. Whether the request ran to completion is then unknown, since the response was not read to its end.
-func (j *job) readAll(response Response) (pieces, *failure.Request) {
+func (j *job) readAll(response Response) (*heldBody, *failure.Request) {
 	limit := j.relay.cfg.MaxResponseBytes
 	if response.Status() >= http.StatusBadRequest {
 		limit = min(limit, h1.MaxFailureBody)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/memory"
 )
 
 func TestStreams(t *testing.T) {
@@ -134,7 +135,7 @@
 			"at once": strings.NewReader(tc.in), "byte by byte": iotest.OneByteReader(strings.NewReader(tc.in)),
 		} {
 			t.Run(tc.name+" "+name, func(t *testing.T) {
-				r := newEventReader(source, DefaultMaxEventBytes)
+				r := newEventReader(source, DefaultMaxEventBytes, testBudget().Open())
 				var got []string
 				var ids []int
 				for {
@@ -156,9 +157,12 @@
 			})
 		}
 	}
-	r := newEventReader(strings.NewReader(strings.Repeat("z", DefaultMaxEventBytes+1)), DefaultMaxEventBytes)
+	r := newEventReader(strings.NewReader(strings.Repeat("z", DefaultMaxEventBytes+1)), DefaultMaxEventBytes, testBudget().Open())
 	var tooLong *h1.LimitError
 	if _, err := r.next(); !errors.As(err, &tooLong) {
 		t.Errorf("an event over the limit returned %v", err)
 	}
 }
+
+// testBudget returns a budget that fits a few of the longest events.
+func testBudget() *memory.Budget { return memory.NewBudget(32<<20, nil) }
