poison: runs that have ended hold no bodies

Cause: runs that ended without a complete response are retained for two seconds in case their endpoint has crashed, up to 256 for each endpoint and until the next failure there, with the whole request. Their bodies were held beyond the request, without a bound for the process.

Change: a retained run has the request's key and fingerprint, computed when it ends, in place of the body.

--- a/poison/impaired.go
+++ b/poison/impaired.go
@@ -48,7 +48,7 @@
 // impaired and no equal request had a complete response recently. Copies of it may run at the same time on any VM, of
 // which nothing will be known until the first has crashed its endpoint. Those that run on this VM are known.
 func (g *Guard) unknown(r *relay.Request, id Identity, impaired bool) relay.Suspicion {
-	if !impaired || g.runs.exonerated(r) {
+	if !impaired || g.runs.exonerated(g.runs.completed.fingerprint(r)) {
 		return relay.Suspicion{}
 	}
 	return relay.Suspicion{Unknown: true, Key: id.Key.placementKey(), CopiesOn: g.runs.equalRunsOn(r)}
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"time"
+	"weak"
 
 	"k8s.io/klog/v2"
 
@@ -125,8 +126,9 @@
 		return refusedProbeWait
 	}
 	wait := time.Duration(0)
+	fingerprint := sync.OnceValue(func() uint64 { return r.completed.fingerprint(request) })
 	for p, s := range r.probed {
-		if containsEqual(s.ended, request) || r.runsEqual(request, s.endpoint) {
+		if containsEqual(s.ended, request, fingerprint) || r.runsEqual(request, s.endpoint) {
 			wait = max(wait, p.wait())
 		}
 	}
@@ -140,8 +142,9 @@
 	if now.Sub(r.lastDownAt) > runRetention {
 		return false
 	}
+	fingerprint := sync.OnceValue(func() uint64 { return r.completed.fingerprint(request) })
 	for _, s := range r.byIncarnation {
-		if s.down(now) && (s.reportsEqual(request) || r.runsEqual(request, s.endpoint)) {
+		if s.down(now) && (s.reportsEqual(request, fingerprint) || r.runsEqual(request, s.endpoint)) {
 			return true
 		}
 	}
@@ -149,13 +152,15 @@
 }
 
 // reportsEqual reports whether a run of another request that is equal to this one is being reported as a suspect.
-func (s *endpointState) reportsEqual(request *relay.Request) bool {
-	return slices.ContainsFunc(s.reports, func(report *crashReport) bool { return containsEqual(report.runs, request) })
+func (s *endpointState) reportsEqual(request *relay.Request, fingerprint func() uint64) bool {
+	return slices.ContainsFunc(s.reports, func(report *crashReport) bool { return containsEqual(report.runs, request, fingerprint) })
 }
 
-// containsEqual reports whether a run of another request that is equal to this one is in a list.
-func containsEqual(runs []endedRun, request *relay.Request) bool {
-	return slices.ContainsFunc(runs, func(run endedRun) bool { return equalRequests(run.request, request) })
+// containsEqual reports whether a run of another request that is equal to this one, with its fingerprint, is in a list.
+func containsEqual(runs []endedRun, request *relay.Request, fingerprint func() uint64) bool {
+	return slices.ContainsFunc(runs, func(run endedRun) bool {
+		return run.of != weak.Make(request) && run.request.Target == request.Target && run.fingerprint == fingerprint()
+	})
 }
 
 // equalRunsOn returns the IDs of the endpoints on which requests equal to this one have begun to run within
--- a/poison/runs.go
+++ b/poison/runs.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"time"
+	"weak"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
@@ -124,10 +125,16 @@
 }
 
 // endedRun is a run that ended without a complete response. Interrupted and abandoned runs count
-// alike once the endpoint is known to have crashed.
+// alike once the endpoint is known to have crashed. It holds no body: those of all runs that are retained would have no
+// bound.
 type endedRun struct {
-	request   *relay.Request
-	streaming bool
+	// of is the request of the run, and request a copy without the body.
+	of      weak.Pointer[relay.Request]
+	request relay.Request
+	// key identifies the request, and fingerprint does so within this process.
+	key         Key
+	fingerprint uint64
+	streaming   bool
 	// answered is set if the endpoint had begun to write an answer.
 	answered bool
 	at       time.Time
@@ -188,7 +195,7 @@
 		r.recordCompleted(request, now)
 		return noWait
 	}
-	run := endedRun{request: request, streaming: end.Streaming, answered: end.Answered, at: now}
+	run := r.newEndedRun(request, end, now)
 	r.mu.Lock()
 	s := r.state(e, now)
 	if s.down(now) {
@@ -205,6 +212,15 @@
 	return r.startProbe(s).await
 }
 
+func (r *RunTracker) newEndedRun(request *relay.Request, end relay.RunEnd, now time.Time) endedRun {
+	run := endedRun{
+		of: weak.Make(request), request: *request, key: KeyOf(request), fingerprint: r.completed.fingerprint(request),
+		streaming: end.Streaming, answered: end.Answered, at: now,
+	}
+	run.request.Body = nil
+	return run
+}
+
 func noWait() {}
 
 func (r *RunTracker) removeActive(request *relay.Request) {
@@ -220,9 +236,8 @@
 	r.completed.add(fingerprint, now)
 }
 
-// exonerated reports whether this VM has recently seen a complete response to the same request.
-func (r *RunTracker) exonerated(request *relay.Request) bool {
-	fingerprint := r.completed.fingerprint(request)
+// exonerated reports whether this VM has recently seen a complete response to the request with a fingerprint.
+func (r *RunTracker) exonerated(fingerprint uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.completed.contains(fingerprint, r.cfg.Now())
@@ -271,16 +286,15 @@
 	close(report.done)
 }
 
-// report reports a crash with its suspects; there may be none. Keys are computed only here: hashing each request's
-// body would burden all requests for the sake of a few.
+// report reports a crash with its suspects; there may be none.
 func (r *RunTracker) report(e *directory.Endpoint, runs []endedRun) {
 	crash := Crash{ID: CrashID(e)}
 	for _, run := range runs {
-		if r.exonerated(run.request) {
+		if r.exonerated(run.fingerprint) {
 			continue
 		}
 		crash.Suspects = append(crash.Suspects, Suspect{
-			Key: KeyOf(run.request), Origin: OriginOf(run.request), Request: run.request.ID, Streaming: run.streaming, Parts: r.suspectParts(run),
+			Key: run.key, Origin: OriginOf(&run.request), Request: run.request.ID, Streaming: run.streaming, Parts: r.suspectParts(run),
 		})
 	}
 	crashesReported.Inc()
@@ -295,7 +309,7 @@
 		return nil
 	}
 	var list []SuspectPart
-	for i, key := range partKeys(run.request) {
+	for i, key := range partKeys(&run.request) {
 		if !r.answered.exonerate(key, r.cfg.Now()) {
 			list = append(list, SuspectPart{Key: key, ID: run.request.Prompt.Shared()[i].ID})
 		}
--- a/poison/runs_test.go
+++ b/poison/runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -288,3 +289,40 @@
 		KeyOf(r)
 	}
 }
+
+// Guards against long bodies that stay in memory after their requests: the runs that are retained for a later crash must
+// hold none, and still be recognized.
+func TestRetainedRunsHoldNoBodies(t *testing.T) {
+	tracker := newTestTracker()
+	e := endpoint("a")
+	const size = 1 << 20
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	body := strings.Repeat("z", size)
+	for n := range 64 {
+		r := request("caller", fmt.Sprint("r", n), fmt.Sprint(n)+body)
+		tracker.RecordStart(r, e)
+		tracker.RecordEnd(r, e, relay.RunEnd{Outcome: relay.RunAbandoned})()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if rise := int64(after.HeapAlloc) - int64(before.HeapAlloc); rise > 8*size {
+		t.Errorf("%d KB are held of 64 runs that have ended", rise>>10)
+	}
+	tracker.down["a"] = true
+	again := request("caller", "again", fmt.Sprint(63)+body)
+	tracker.RecordStart(again, e)
+	tracker.RecordEnd(again, e, relay.RunEnd{Outcome: relay.RunInterrupted})()
+	reported := func() int {
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		return len(tracker.suspects)
+	}
+	for end := time.Now().Add(5 * time.Second); reported() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if reported() != 65 {
+		t.Errorf("%d suspects, want the 65 runs", reported())
+	}
+}
