origin: nothing is inferred from what is not remembered

What callers saw (reported from a like system): streams taken up after all VMs were killed beside a release were joined from two software versions.

Cause: a stream without a record was taken to have begun on the only version that VMs still knew. A version first seen less than 2 s ago was left out, since streams of it have records, but records are lost with the VMs that have them; and versions were remembered for as short a time as records, and not at all by VMs that had just started.

Change: the versions that a service has ever had, its first two, are a row in the platform's store. A take-up without a record goes on only if the row, read at that moment, and all VMs asked know of the same single version, and none was there before the row. Before the first configuration nothing is inferred.

Ruled out: a mark of the stream's own, since events and their IDs are passed on unaltered and Resumes is the caller's ID.

Late take-ups are refused, also where going on would be right.

--- a/origin/decide.go
+++ b/origin/decide.go
@@ -13,10 +13,9 @@
 	// has no record of it.
 	Software uint32
 	Age      time.Duration
-	// Versions are the hashes of the service's software versions of which an endpoint was registered within
-	// the window in which a stream can be taken up, without those first seen a moment ago.
+	// Versions are the hashes of the service's software versions that may have begun a stream.
 	Versions []uint32
-	// Covered is set if Versions covers the whole window, and Current if the VM receives the changes of the
+	// Covered is set if there can have been no other version, and Current if the VM receives the changes of the
 	// endpoints.
 	Covered, Current bool
 }
@@ -32,14 +31,14 @@
 	notCurrent    inference = "view-not-current"
 )
 
-// infer returns the software of a stream that nobody has a record of. Records are sent unless the VM that
-// begins a stream knows that there is only one version, so that a stream without a record began on that
-// version: if nobody knows of a second one, somebody knows all versions of the time in which the stream may
-// have begun, and somebody receives the changes of the endpoints. If nobody does, the platform's store has
+// infer returns the software of a stream that nobody has a record of: the only version that the service has ever had.
+// Once there was a second one, the record may be lost with the VMs that had it, or have expired. It is the only one if
+// nobody knows of another, somebody knows that there can have been none, and somebody receives the changes of the
+// endpoints. If nobody does, the platform's store has
 // failed for all VMs, provided that all that were asked have answered; otherwise this VM may be cut off. So
 // may be one that none of several other VMs answers.
 func infer(own view, answers []Answer, asked, others int) (software uint32, outcome inference) {
-	versions, covered, current := slices.Clone(own.settled), own.covered, own.current
+	versions, covered, current := slices.Clone(own.versions), own.covered, own.current
 	for _, a := range answers {
 		versions = append(versions, a.Versions...)
 		covered = covered || a.Covered
--- a/origin/decide_test.go
+++ b/origin/decide_test.go
@@ -4,9 +4,9 @@
 
 // The software of a stream without a record is inferred only if no second version can have begun it.
 func TestInfer(t *testing.T) {
-	one := view{settled: []uint32{1}, covered: true, current: true}
-	stale := view{settled: []uint32{1}, covered: true}
-	started := view{settled: []uint32{1}, current: true}
+	one := view{versions: []uint32{1}, covered: true, current: true}
+	stale := view{versions: []uint32{1}, covered: true}
+	started := view{versions: []uint32{1}, current: true}
 	knowsOne := Answer{Versions: []uint32{1}, Covered: true, Current: true}
 	knowsTwo := Answer{Versions: []uint32{1, 2}, Covered: true, Current: true}
 	stalePeer := Answer{Versions: []uint32{1}, Covered: true}
--- a/origin/history.go
+++ b/origin/history.go
@@ -7,11 +7,6 @@
 	"github.com/springweir/springweir/directory"
 )
 
-// settleTime is how long after a VM has first seen a software version the other VMs may not know it yet,
-// or not have sent the records of the streams that began before. It is three times as long as a change of
-// an endpoint's row takes to reach all VMs.
-const settleTime = 2 * time.Second
-
 // history records which software versions of each service were registered when. It is not safe for
 // concurrent use.
 type history struct {
@@ -23,8 +18,8 @@
 
 // sighting states when endpoints of a software version were registered.
 type sighting struct {
-	endpoints       int
-	firstAt, lastAt time.Time
+	endpoints int
+	lastAt    time.Time
 }
 
 func newHistory() *history { return &history{services: map[string]map[string]*sighting{}} }
@@ -50,7 +45,7 @@
 	}
 	seen := versions[s.Version]
 	if seen == nil {
-		seen = &sighting{firstAt: now}
+		seen = &sighting{}
 		versions[s.Version] = seen
 	}
 	seen.endpoints += n
@@ -72,10 +67,10 @@
 
 // view is what a VM knows about the software of a service.
 type view struct {
-	// versions are the hashes of the versions of which an endpoint was registered within the window,
-	// sorted. settled are those that were not first seen a moment ago.
-	versions, settled []uint32
-	// covered is set if versions covers the whole window.
+	// versions are the hashes of the versions that may have begun a stream, sorted: those of which an endpoint was
+	// registered within the window, and those that the service is registered to have had.
+	versions []uint32
+	// covered is set if there can have been no other version.
 	covered bool
 	// current is set if the VM receives changes of the endpoints.
 	current bool
@@ -87,40 +82,28 @@
 // isOnly reports whether the service is known to have had only the version with a hash.
 func (v view) isOnly(software uint32) bool { return v.hasOneVersion() && v.versions[0] == software }
 
-// needRecords returns the software whose streams need records, because it is not known to be the only
-// version of its service.
-func (h *history) needRecords(now time.Time, window time.Duration) map[uint32]bool {
-	needed := map[uint32]bool{}
-	for service := range h.services {
-		v := h.view(now, service, window)
-		if v.hasOneVersion() {
-			continue
-		}
-		for _, hash := range v.versions {
-			needed[hash] = true
-		}
-	}
-	return needed
-}
-
-// view returns what is known of a service's software over a window until now. It forgets the versions
-// that disappeared before the window.
+// view returns what this VM has seen of a service's software over a window until now; the window is zero if it is not
+// known. It forgets the versions that disappeared before the window.
 func (h *history) view(now time.Time, service string, window time.Duration) view {
-	v := view{current: !h.currentSince.IsZero(), covered: !h.listedAt.IsZero() && now.Sub(h.listedAt) >= window}
+	v := view{current: !h.currentSince.IsZero(), covered: window > 0 && !h.listedAt.IsZero() && now.Sub(h.listedAt) >= window}
 	for version, seen := range h.services[service] {
-		if seen.endpoints <= 0 && now.Sub(seen.lastAt) > window {
+		if seen.endpoints <= 0 && window > 0 && now.Sub(seen.lastAt) > window {
 			delete(h.services[service], version)
 			continue
 		}
 		hash := softwareHash(directory.Software{Service: service, Version: version})
 		v.versions = append(v.versions, hash)
-		// What is found when the view becomes current may have been there for long.
-		if now.Sub(seen.firstAt) >= settleTime || seen.firstAt.Sub(h.currentSince) < settleTime {
-			v.settled = append(v.settled, hash)
-		}
 	}
 	slices.Sort(v.versions)
-	slices.Sort(v.settled)
+	return v
+}
+
+// with adds what the service is registered to have had. If that is not known, nothing is certain.
+func (v view) with(r registration, known bool) view {
+	v.versions = slices.Concat(v.versions, r.Versions)
+	slices.Sort(v.versions)
+	v.versions = slices.Compact(v.versions)
+	v.covered = known && (v.covered || r.Complete)
 	return v
 }
 
--- a/origin/model_test.go
+++ b/origin/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/table/memtable"
 )
 
 // maxLag is how long a change of the endpoints takes to reach a VM at most.
@@ -18,6 +19,8 @@
 type model struct {
 	*testRegion
 	rng *rand.Rand
+	// calm is set if versions change seldom, so that there is only one for longer than records are kept.
+	calm bool
 	// serving are the versions that are registered. A VM learns of changes within maxLag, unless it is cut off.
 	serving []string
 	next    int
@@ -62,7 +65,11 @@
 
 // step does one thing at random.
 func (m *model) step() {
-	switch m.rng.IntN(30) {
+	action := m.rng.IntN(30)
+	if m.calm && action < 2 && m.rng.IntN(8) > 0 {
+		return
+	}
+	switch action {
 	case 0:
 		if len(m.serving) < 3 {
 			m.next++
@@ -87,13 +94,36 @@
 			time.AfterFunc(2*time.Second, func() { vm.SetCurrent(false) })
 			time.AfterFunc(4*time.Second, func() { vm.cutOff = false; vm.SetCurrent(true) })
 		}
-	case 4, 5, 6, 7, 8, 9, 10, 11, 12:
+	case 4:
+		if m.rng.IntN(10) == 0 {
+			m.killAll()
+		}
+	case 5, 6, 7, 8, 9, 10, 11, 12:
 		m.takeUpOne()
 	default:
 		m.beginOne()
 	}
 }
 
+// killAll kills all VMs at once, as many of which start again while versions may come and go.
+func (m *model) killAll() {
+	n := 0
+	for _, vm := range m.vms {
+		if !vm.down {
+			vm.down, vm.downAt = true, clock.Now()
+			n++
+		}
+	}
+	if len(m.serving) > 1 && m.rng.IntN(2) == 0 {
+		m.serving = m.serving[1:]
+	}
+	time.Sleep(time.Second)
+	m.vms = nil
+	for range n {
+		m.known[m.start(m.serving...)] = setOf(m.serving)
+	}
+}
+
 func setOf(list []string) map[string]bool {
 	set := map[string]bool{}
 	for _, s := range list {
@@ -124,16 +154,21 @@
 		return
 	}
 	id := m.order[max(0, len(m.order)-1-m.rng.IntN(30))]
-	if clock.Since(m.began[id]) > testWindow-time.Second {
-		return
+	if m.rng.IntN(20) == 0 {
+		id = m.order[m.rng.IntN(len(m.order))] // perhaps later than its record is kept
 	}
+	late := clock.Since(m.began[id]) > testWindow-time.Second
 	got := vm.takeUp(id)
 	switch want := m.streams[id]; {
+	case got == want && late:
+		m.results["went on, late"]++
 	case got == want:
 		m.results["went on"]++
 	case got[0] == 'v':
 		m.results["mixed"]++
 		m.t.Errorf("stream %s of %s goes on at %s", id, want, got)
+	case late:
+		m.results[got+", late"]++
 	default:
 		m.results[got]++
 	}
@@ -146,7 +181,7 @@
 	for seed := range uint64(150) {
 		synctest.Test(t, func(t *testing.T) {
 			m := &model{
-				testRegion: &testRegion{t: t}, rng: rand.New(rand.NewPCG(seed, 0)), serving: []string{"v0"},
+				testRegion: &testRegion{t: t, rows: memtable.New()}, rng: rand.New(rand.NewPCG(seed, 0)), calm: seed%3 == 0, serving: []string{"v0"},
 				streams: map[string]string{}, began: map[string]time.Time{}, known: map[*testVM]map[string]bool{}, results: total,
 			}
 			for range 5 {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/directory"
@@ -15,6 +16,7 @@
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/relay"
+	"github.com/springweir/springweir/table"
 )
 
 const (
@@ -29,7 +31,8 @@
 
 // Config configures a Tracker.
 type Config struct {
-	// Window returns how long after a response brought its first event the stream may be taken up.
+	// Window returns for how long after a response brought its first event the record of the stream is kept; zero
+	// before it is known.
 	Window func() time.Duration
 	// Publish sends records to the VMs that keep them.
 	Publish func(...loadshare.StreamRecord)
@@ -38,13 +41,19 @@
 	Peers func() (alive []loadshare.Peer, others int)
 	// Asker asks them.
 	Asker Asker
+	// Rows is the platform's store, in which it is kept which versions the services have had. Epoch returns its epoch,
+	// and WriteSpread the time over which the VMs spread their writes; both may be nil.
+	Rows        table.Service
+	Epoch       func() uint64
+	WriteSpread func() time.Duration
 	// Now returns the current time; nil selects the system clock.
 	Now func() time.Time
 }
 
 // Tracker implements relay.Origins. It is safe for concurrent use; mu is a leaf lock.
 type Tracker struct {
-	cfg Config
+	cfg      Config
+	register *register
 
 	mu      sync.Mutex
 	history *history
@@ -56,7 +65,7 @@
 // New returns a Tracker that knows no endpoints and no streams.
 func New(c Config) *Tracker {
 	c.Now = clock.OrSystem(c.Now)
-	return &Tracker{cfg: c, history: newHistory(), ledger: newLedger(c.Now())}
+	return &Tracker{cfg: c, register: newRegister(c), history: newHistory(), ledger: newLedger(c.Now())}
 }
 
 // SetEndpoints records the software of the endpoints in a new snapshot.
@@ -73,18 +82,71 @@
 	t.history.setCurrent(t.cfg.Now(), current)
 }
 
-// Run drops old records and sends those that were not needed before, until ctx ends.
+// Run drops old records, sends those that were not needed before, and keeps the versions of the services registered,
+// until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
-	loop.Every(ctx, publishInterval, t.maintain)
+	var group errgroup.Group
+	group.Go(func() error { loop.Every(ctx, publishInterval, t.maintain); return nil })
+	group.Go(func() error { loop.Every(ctx, publishInterval, func() { t.registerVersions(ctx) }); return nil })
+	_ = group.Wait() // neither returns an error
+}
+
+// registerVersions registers the versions that this VM has seen of each service. It does nothing before the endpoints
+// are listed.
+func (t *Tracker) registerVersions(ctx context.Context) {
+	for service, seen := range t.seen() {
+		if t.register.needsUpdate(service, seen) {
+			logFailure(service, t.register.update(ctx, service, seen))
+		}
+	}
+}
+
+// seen returns what this VM has seen of each service.
+func (t *Tracker) seen() map[string]registration {
+	now, window := t.cfg.Now(), t.cfg.Window()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	services := map[string]registration{}
+	if t.history.listedAt.IsZero() {
+		return services
+	}
+	for service := range t.history.services {
+		v := t.history.view(now, service, window)
+		services[service] = registration{Versions: v.versions, Complete: v.covered && v.current}
+	}
+	return services
+}
+
+// view returns what is known of a service's software. The caller holds mu.
+func (t *Tracker) view(now time.Time, service string, window time.Duration) view {
+	return t.history.view(now, service, window).with(t.register.get(service))
+}
+
+// needRecords returns the software whose streams need records, because it is not known to be the only version of its
+// service. The caller holds mu.
+func (t *Tracker) needRecords(now time.Time, window time.Duration) map[uint32]bool {
+	needed := map[uint32]bool{}
+	for service := range t.history.services {
+		v := t.view(now, service, window)
+		if v.hasOneVersion() {
+			continue
+		}
+		for _, hash := range v.versions {
+			needed[hash] = true
+		}
+	}
+	return needed
 }
 
 // maintain drops old records. It sends those of streams whose software can no longer be inferred.
 func (t *Tracker) maintain() {
 	now, window := t.cfg.Now(), t.cfg.Window()
 	t.mu.Lock()
-	t.ledger.rotate(now, window)
+	if window > 0 {
+		t.ledger.rotate(now, window)
+	}
 	var records []loadshare.StreamRecord
-	if needed := t.history.needRecords(now, window); len(needed) > 0 {
+	if needed := t.needRecords(now, window); len(needed) > 0 {
 		records = t.ledger.takeUnpublished(needed)
 	}
 	t.mu.Unlock()
@@ -102,7 +164,7 @@
 	}
 	now, window, record := t.cfg.Now(), t.cfg.Window(), loadshare.StreamRecord{Stream: streamHash(id), Software: softwareHash(s)}
 	t.mu.Lock()
-	publish := len(r.Route.Targets) > 1 || !t.history.view(now, s.Service, window).isOnly(record.Software)
+	publish := len(r.Route.Targets) > 1 || !t.view(now, s.Service, window).isOnly(record.Software)
 	if publish {
 		t.ledger.put(now, record.Stream, record.Software)
 	} else {
@@ -184,7 +246,7 @@
 	now, window, stream := t.cfg.Now(), t.cfg.Window(), streamHash(r.Origin)
 	t.mu.Lock()
 	hash, age, found := t.ledger.get(now, stream)
-	own := t.history.view(now, r.Service, window)
+	own := t.view(now, r.Service, window)
 	t.mu.Unlock()
 	if found && r.Origin != "" {
 		return hash, source{name: "record", age: age}
@@ -196,6 +258,11 @@
 		from.name, from.age = decided.VM, decided.Age
 		return decided.Software, from
 	}
+	// This VM may have been suspended, or cut off, while another version was there.
+	t.register.refresh(ctx, r.Service)
+	t.mu.Lock()
+	own = t.view(now, r.Service, window)
+	t.mu.Unlock()
 	hash, outcome := infer(own, answers, len(peers), others)
 	if outcome == inferred && len(r.Route.Targets) > 1 {
 		hash, outcome = 0, notOneVersion
@@ -248,8 +315,8 @@
 	now, window := t.cfg.Now(), t.cfg.Window()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := t.history.view(now, service, window)
-	a := Answer{Versions: v.settled, Covered: v.covered, Current: v.current}
+	v := t.view(now, service, window)
+	a := Answer{Versions: v.versions, Covered: v.covered, Current: v.current}
 	if software, age, found := t.ledger.get(now, stream); found {
 		a.Software, a.Age = software, age
 	}
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -17,6 +17,8 @@
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/relay"
 	"github.com/springweir/springweir/routes"
+	"github.com/springweir/springweir/table"
+	"github.com/springweir/springweir/table/memtable"
 )
 
 // testWindow is how long streams can be taken up in these tests.
@@ -40,15 +42,18 @@
 
 // testRegion is a small region whose VMs send each other records within 10 ms.
 type testRegion struct {
-	t   *testing.T
-	vms []*testVM
+	t    *testing.T
+	vms  []*testVM
+	rows *memtable.Table
+	// epoch is the epoch of the store.
+	epoch uint64
 }
 
 // inRegion runs a test in virtual time with n VMs that know one engine of each version.
 func inRegion(t *testing.T, n int, versions []string, f func(r *testRegion)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &testRegion{t: t}
+		r := &testRegion{t: t, rows: memtable.New()}
 		for range n {
 			r.start(versions...)
 		}
@@ -61,7 +66,7 @@
 	n := len(r.vms)
 	vm := &testVM{region: r, address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", n+1))}
 	vm.Tracker = New(Config{
-		Window: func() time.Duration { return testWindow }, Publish: vm.publish, Peers: vm.peers, Asker: vm,
+		Window: func() time.Duration { return testWindow }, Publish: vm.publish, Peers: vm.peers, Asker: vm, Rows: r.rows, Epoch: func() uint64 { return r.epoch },
 	})
 	vm.directory = directory.New(func(_, next *directory.Snapshot) { vm.SetEndpoints(next) })
 	for _, v := range versions {
@@ -147,6 +152,7 @@
 		for _, vm := range r.vms {
 			if !vm.down {
 				vm.maintain()
+				vm.registerVersions(r.t.Context())
 			}
 		}
 	}
@@ -218,7 +224,7 @@
 		time.Sleep(700 * time.Millisecond)
 		r.vms[0].register("v2")
 		r.vms[2].register("v2")
-		r.maintainAll(settleTime + time.Second)
+		r.maintainAll(3 * time.Second)
 		r.vms[0].down, r.vms[0].downAt = true, clock.Now()
 		checkVersion(t, "recorded when v2 appeared", r.vms[2].takeUp("s"), "v1")
 		checkVersion(t, "stream of v2", r.vms[2].takeUp("n"), "v2")
@@ -242,6 +248,7 @@
 		r.maintainAll(2 * testWindow)
 		r.vms[1].begin("n", "v2")
 		checkVersion(t, "after a window", r.vms[2].takeUp("n"), "v2")
+		time.Sleep(20 * time.Millisecond)
 	})
 }
 
@@ -324,3 +331,144 @@
 		checkVersion(t, "after two windows", r.vms[1].takeUp("s"), string(failure.OriginUnknown))
 	})
 }
+
+// killAll kills all VMs, after which others start that list one engine of each version.
+func (r *testRegion) killAll(versions ...string) {
+	n := len(r.vms)
+	for _, vm := range r.vms {
+		vm.down, vm.downAt = true, clock.Now()
+	}
+	time.Sleep(time.Second)
+	r.vms = nil
+	for range n {
+		r.start(versions...)
+	}
+}
+
+// Guards against a stream of a new version that goes on at the old one: its records are lost with the VM that began it
+// and with those that had them, but the VM that is asked knows that there is a second version.
+func TestKnownVersionIsNotRuledOut(t *testing.T) {
+	inRegion(t, 4, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow)
+		for _, vm := range r.vms {
+			vm.register("v2")
+			vm.deaf = true
+		}
+		time.Sleep(100 * time.Millisecond)
+		r.vms[0].begin("s", "v2")
+		r.vms[0].down, r.vms[0].downAt = true, clock.Now()
+		time.Sleep(300 * time.Millisecond)
+		checkVersion(t, "a moment after the version appeared", r.vms[1].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
+
+// Guards against a stream that goes on at the only version that is left, because neither its record nor the version that
+// began it is remembered: its caller comes late, all VMs were killed meanwhile or not.
+func TestExpiredRecordIsNoSingleVersion(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		inRegion(t, 3, []string{"v1"}, func(r *testRegion) {
+			r.maintainAll(testWindow)
+			r.vms[0].begin("s", "v1")
+			for _, vm := range r.vms {
+				vm.register("v2")
+			}
+			r.maintainAll(time.Second)
+			for _, vm := range r.vms {
+				vm.deregister("v1")
+			}
+			if kill {
+				r.killAll("v2")
+			}
+			r.maintainAll(3 * testWindow)
+			for n, vm := range r.vms {
+				checkVersion(t, fmt.Sprintf("VMs killed: %v, at VM %d", kill, n), vm.takeUp("s"), string(failure.OriginUnknown))
+			}
+		})
+	}
+}
+
+// Guards against take-ups that are refused after all VMs were killed, although the service has had one version only.
+func TestSingleVersionOutlivesAllVMs(t *testing.T) {
+	inRegion(t, 3, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow + time.Second)
+		r.vms[0].begin("s", "v1")
+		r.killAll("v1")
+		r.maintainAll(publishInterval)
+		checkVersion(t, "after all VMs were killed", r.vms[1].takeUp("s"), "v1")
+	})
+}
+
+// Guards against a version that came before all VMs were killed and left while they were away: the only one that is
+// there may not have begun the stream.
+func TestVersionThatLeftWhileAllVMsWereAway(t *testing.T) {
+	inRegion(t, 3, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow + time.Second)
+		for _, vm := range r.vms {
+			vm.register("v2")
+		}
+		r.maintainAll(time.Second)
+		r.vms[0].begin("s", "v2")
+		r.killAll("v1")
+		r.maintainAll(publishInterval)
+		checkVersion(t, "at once", r.vms[1].takeUp("s"), string(failure.OriginUnknown))
+		r.maintainAll(2 * testWindow)
+		checkVersion(t, "after two windows", r.vms[1].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
+
+// Guards against a VM that was suspended while another version came and began streams, and that then finds no other VM.
+func TestSuspendedVMAsksTheStore(t *testing.T) {
+	inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow + time.Second)
+		r.vms[0].register("v2")
+		r.vms[0].registerVersions(r.t.Context())
+		r.vms[1].deaf = true
+		r.vms[0].begin("s", "v2")
+		r.vms[0].down, r.vms[0].downAt = true, clock.Now()
+		time.Sleep(time.Second)
+		checkVersion(t, "at the VM that was suspended", r.vms[1].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
+
+// While the store does not respond, a VM that has read the versions goes on by them, and one that has not refuses.
+func TestVersionsWithoutTheStore(t *testing.T) {
+	inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow + time.Second)
+		r.rows.SetDown(true)
+		checkVersion(t, "at a VM that has read them", r.vms[0].takeUp("s"), "v1")
+		r.killAll("v1")
+		r.maintainAll(time.Second)
+		checkVersion(t, "at a VM that has not", r.vms[0].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
+
+// Guards against a store that comes back from a backup without the second version: the VMs that know it register it
+// again, and VMs that start later learn it.
+func TestRestoredStoreLearnsVersions(t *testing.T) {
+	inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow + time.Second)
+		backup := r.rows.Backup()
+		for _, vm := range r.vms {
+			vm.register("v2")
+		}
+		r.maintainAll(time.Second)
+		r.rows.Restore(backup)
+		r.epoch++
+		r.maintainAll(time.Second)
+		r.killAll("v1")
+		r.maintainAll(2 * testWindow)
+		checkVersion(t, "at a VM that started later", r.vms[0].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
+
+// A row that cannot be read must not be taken for one that names no versions.
+func TestMalformedRegistration(t *testing.T) {
+	inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
+		key := table.Key{Table: Table, Row: "llm"}
+		if _, err := r.rows.Commit(r.t.Context(), table.Txn{Writes: []table.Write{{Key: key, Value: []byte("{")}}}); err != nil {
+			t.Fatal(err)
+		}
+		r.maintainAll(2 * testWindow)
+		checkVersion(t, "with a malformed row", r.vms[0].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
