gateway, origin: read once more

- A refused head was followed by net/http's own 400 on the connection: the read now fails with an error that net/http doesn't respond to.
The test asks that nothing follows the refusal.
- A rejected request whose caller had gone got a flushed head of status 200 while its handler panicked.
- Rejected requests with short chunked bodies keep their connection again.
- VMs call the store for software versions once a second while it fails, not at each round (origin.TestRegisterRetriesSlowly), and a take-up waits for it only once.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -110,9 +110,13 @@
 	maxDiscardedByServer = 256 << 10
 )
 
-// isLong reports whether net/http closes the connection of a request whose body was not read.
-func isLong(r *http.Request) bool {
-	return r.ContentLength < 0 || r.ContentLength > maxDiscardedByServer
+// leavesLongBody reports whether net/http would close the connection of a rejected request because of what is left of its
+// body. Bodies of unknown length are mostly short.
+func leavesLongBody(r *http.Request, failed *failure.Request) bool {
+	if r.ContentLength < 0 {
+		return failed.Code == failure.MemoryFull || failed.Code == failure.TooLarge
+	}
+	return r.ContentLength > maxDiscardedByServer
 }
 
 // discardBody sends what was written of a refusal, and then reads and discards the body: a caller that first sends the
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -143,10 +143,14 @@
 			t.Fatal(err)
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			continue // it may go on
 		}
+		if after, _ := io.ReadAll(reader); len(after) > 0 {
+			t.Errorf("%q follows the refusal", after)
+		}
 		refused++
 		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
 			t.Errorf("refused with %d and %v", response.StatusCode, response.Header)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -195,12 +195,14 @@
 func (h *handler) reject(w http.ResponseWriter, r *http.Request, id string, failed *failure.Request) {
 	klog.InfoS("gateway: request rejected", "request", id, "host", r.Host, "path", withoutQuery(target(r)), "config", h.state.version(),
 		"configStale", h.state.configStale(), "failure", failed.Code, "cause", failed.Message)
-	if isLong(r) {
-		_ = http.NewResponseController(w).EnableFullDuplex() // supported by every HTTP/1 connection
-		w.Header().Set("Connection", "close")
-		defer discardBody(w, r, h.stall)
+	if !leavesLongBody(r, failed) {
+		h.refuse(w, r, id, failed)
+		return
 	}
+	_ = http.NewResponseController(w).EnableFullDuplex() // supported by every HTTP/1 connection
+	w.Header().Set("Connection", "close")
 	h.refuse(w, r, id, failed)
+	discardBody(w, r, h.stall)
 }
 
 // refuse responds with a failure of the gateway itself. A status that guarantees that the request
--- a/gateway/heads.go
+++ b/gateway/heads.go
@@ -80,15 +80,15 @@
 	c.held.Release()
 }
 
-// Read implements net.Conn. A head for which there is no memory is refused: net/http has not responded to anything
-// that is still open, and closes the connection because of the error.
+// Read implements net.Conn. A head for which there is no memory is refused. All earlier requests of the connection have
+// been responded to then, and net/http closes the connection without a response because of the *net.OpError.
 func (c *headConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if after := c.count(n); after != nil {
 		headsRefused.Inc()
 		_, _ = io.WriteString(c.Conn, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: "+
 			strconv.FormatFloat(after.RetryAfter.Seconds(), 'f', 3, 64)+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-		return 0, io.EOF
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: after}
 	}
 	return n, err
 }
--- a/origin/register.go
+++ b/origin/register.go
@@ -26,6 +26,8 @@
 	maxVersions = 2
 	// registerTimeout bounds a call to the store.
 	registerTimeout = 200 * time.Millisecond
+	// registerRetry is the time after a failed call until the next one.
+	registerRetry = time.Second
 	// registerMaxAge is the age of a row from which it is read again before something is inferred from it.
 	registerMaxAge = 100 * time.Millisecond
 )
@@ -67,6 +69,8 @@
 
 	mu    sync.Mutex
 	known map[string]*knownRow
+	// failedAt is when the last call failed that was not followed by a successful one; zero if there is none.
+	failedAt time.Time
 }
 
 // knownRow is the row of a service as last read or written.
@@ -104,12 +108,29 @@
 	r.mu.Lock()
 	row := r.known[service]
 	fresh := row != nil && r.now().Sub(row.readAt) < registerMaxAge
+	failed := r.failing()
 	r.mu.Unlock()
-	if !fresh {
+	if !fresh && !failed {
 		_, _ = r.read(ctx, service)
 	}
 }
 
+// failing reports whether a call failed a moment ago. The caller holds mu.
+func (r *register) failing() bool {
+	return !r.failedAt.IsZero() && r.now().Sub(r.failedAt) < registerRetry
+}
+
+// noteCall records whether the store responded.
+func (r *register) noteCall(err error) {
+	var conflict *table.ConflictError
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failedAt = time.Time{}
+	if err != nil && !errors.As(err, &conflict) {
+		r.failedAt = r.now()
+	}
+}
+
 func registerKey(service string) table.Key { return table.Key{Table: Table, Row: service} }
 
 // read reads the row of a service and returns it merged with what was known.
@@ -119,21 +140,31 @@
 		defer cancel()
 		epoch, readAt := r.epoch(), r.now()
 		rows, err := r.rows.Get(ctx, registerKey(service))
-		if err != nil {
-			return knownRow{}, err
+		stored := knownRow{epoch: epoch, readAt: readAt}
+		if err == nil {
+			stored.version = rows[0].Version
+			stored.registration, err = decodeRow(rows[0])
 		}
-		stored := knownRow{version: rows[0].Version, epoch: epoch, readAt: readAt}
-		if rows[0].Version != table.Absent {
-			if err := json.Unmarshal(rows[0].Value, &stored.registration); err != nil {
-				return knownRow{}, &table.MalformedRowError{Key: registerKey(service), Version: rows[0].Version, Problem: "row holds no software versions", Cause: err}
-			}
+		r.noteCall(err)
+		if err == nil {
+			r.put(service, stored)
 		}
-		r.put(service, stored)
-		return stored, nil
+		return stored, err
 	})
 	return row.(knownRow), err
 }
 
+// decodeRow returns the registration in a row, which is empty if the row is absent. The error is *table.MalformedRowError.
+func decodeRow(row table.Row) (r registration, err error) {
+	if row.Version == table.Absent {
+		return r, nil
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, &table.MalformedRowError{Key: row.Key, Version: row.Version, Problem: "row holds no software versions", Cause: err}
+	}
+	return r, nil
+}
+
 // put stores a row that was read or written, without forgetting versions.
 func (r *register) put(service string, row knownRow) {
 	r.mu.Lock()
@@ -144,11 +175,15 @@
 	r.known[service] = &row
 }
 
-// needsUpdate reports whether the row of a service lacks something of seen, or may have been lost.
+// needsUpdate reports whether the row of a service lacks something of seen, or may have been lost. It is false for a moment
+// after a call has failed.
 func (r *register) needsUpdate(service string, seen registration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	row := r.known[service]
+	if r.failing() {
+		return false
+	}
 	return row == nil || row.epoch != r.epoch() || !row.merge(seen).equal(row.registration)
 }
 
@@ -188,6 +223,7 @@
 		Checks: []table.Check{{Key: registerKey(service), Version: before.version}},
 		Writes: []table.Write{{Key: registerKey(service), Value: value}},
 	})
+	r.noteCall(err)
 	if err != nil {
 		return err
 	}
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -472,3 +472,24 @@
 		checkVersion(t, "with a malformed row", r.vms[0].takeUp("s"), string(failure.OriginUnknown))
 	})
 }
+
+// While the store does not respond, VMs must not call it again and again.
+func TestRegisterRetriesSlowly(t *testing.T) {
+	inRegion(t, 1, []string{"v1"}, func(r *testRegion) {
+		r.rows.SetDown(true)
+		before := r.rows.Counts()
+		r.maintainAll(10 * time.Second)
+		r.vms[0].takeUp("s")
+		if calls := r.rows.Counts().Gets - before.Gets; calls < 5 || calls > 11 {
+			t.Errorf("%d calls in 10 s", calls)
+		}
+		r.rows.SetDown(false)
+		r.maintainAll(testWindow + 2*time.Second)
+		before = r.rows.Counts()
+		checkVersion(t, "once the store responds", r.vms[0].takeUp("s"), "v1")
+		r.maintainAll(10 * time.Second)
+		if calls := r.rows.Counts().Gets - before.Gets; calls > 1 {
+			t.Errorf("%d calls in 10 s without a change", calls)
+		}
+	})
+}
