--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,6 +105,8 @@
 	// Scaling enables requests to change the number of endpoints. ScaleByDemand makes the number
 	// follow the load.
 	Scaling, ScaleByDemand bool
+	// Unknown names duties that the platform expects and this build does not know, separated by commas.
+	Unknown string
 }
 
 // Platform holds the gateway's dependencies on the platform it runs on.
@@ -302,6 +304,9 @@
 	peerServer := newServer(g.peerHandler())
 	metricsServer := newServer(http.HandlerFunc(g.serveMetrics))
 	klog.InfoS("gateway: starting", "settings", g.settings)
+	if unknown := g.settings.Duties.Unknown; unknown != "" {
+		klog.ErrorS(nil, "gateway: duties are not known, nobody will do them", "duties", unknown)
+	}
 	// Listen for callers before the readiness check can succeed: otherwise a VM that receives its
 	// configuration at once would be ready while it refuses connections.
 	listener, err := g.listenForCallers()
