origin: a third software version of a service is not written

Two VMs that know different pairs of versions of a service replaced each other's row in the store in turns. Once there were two, it doesn't matter which.

--- a/origin/register.go
+++ b/origin/register.go
@@ -35,17 +35,23 @@
 // registration is what is known of the software versions that a service has ever had. It outlives the VMs, whose own
 // history is short, and shows that a stream without a record cannot have begun on another version.
 type registration struct {
-	// Versions are hashes of the first versions, sorted, maxVersions at most.
+	// Versions are hashes of versions, sorted, maxVersions at most.
 	Versions []uint32 `json:"versions"`
 	// Complete is set once a VM has seen no further version for as long as a stream can be taken up: then none was lost
 	// that was there before the row.
 	Complete bool `json:"complete"`
 }
 
-func (r registration) equal(other registration) bool {
+// isEqual reports whether the same follows from both. Which versions there are doesn't matter once there are several.
+func (r registration) isEqual(other registration) bool {
+	if r.hasSeveral() || other.hasSeveral() {
+		return r.hasSeveral() && other.hasSeveral()
+	}
 	return r.Complete == other.Complete && slices.Equal(r.Versions, other.Versions)
 }
 
+func (r registration) hasSeveral() bool { return len(r.Versions) >= maxVersions }
+
 // merge adds what another registration of the service knows.
 func (r registration) merge(other registration) registration {
 	versions := slices.Concat(r.Versions, other.Versions)
@@ -184,7 +190,7 @@
 	if r.failing() {
 		return false
 	}
-	return row == nil || row.epoch != r.epoch() || !row.merge(seen).equal(row.registration)
+	return row == nil || row.epoch != r.epoch() || !row.merge(seen).isEqual(row.registration)
 }
 
 // update adds what was seen of a service to its row. A row that another VM has written meanwhile is read again by the
@@ -195,7 +201,7 @@
 		return err
 	}
 	known, _ := r.get(service)
-	if known.merge(seen).equal(before.registration) {
+	if known.merge(seen).isEqual(before.registration) {
 		return nil
 	}
 	if delay := r.spread(); delay > 0 {
@@ -206,7 +212,7 @@
 	}
 	known, _ = r.get(service)
 	next := known.merge(seen)
-	if next.equal(before.registration) {
+	if next.isEqual(before.registration) {
 		return nil
 	}
 	return r.write(ctx, service, before, next)
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -493,3 +493,23 @@
 		}
 	})
 }
+
+// Once a service has had two versions, further ones must not be written, whichever VM has seen which.
+func TestThirdVersionIsNotWritten(t *testing.T) {
+	inRegion(t, 3, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(time.Second)
+		for i, vm := range r.vms {
+			vm.register(fmt.Sprint("v", i+2))
+		}
+		r.maintainAll(2 * time.Second)
+		before := r.rows.Counts()
+		for i, vm := range r.vms {
+			vm.register(fmt.Sprint("v", 9-i))
+			vm.deregister("v1")
+		}
+		r.maintainAll(3 * testWindow)
+		if commits := r.rows.Counts().Commits - before.Commits; commits > 0 {
+			t.Errorf("%d writes", commits)
+		}
+	})
+}
