gateway: a refused head gets one refusal

net/http reads again after the error of a read, and each read wrote the refusal again: bytes on a connection on which no request waits.

--- a/gateway/heads.go
+++ b/gateway/heads.go
@@ -46,6 +46,8 @@
 	// reading is set while a head is read, of which read bytes have arrived.
 	reading bool
 	read    int64
+	// refused is why the connection was refused, or nil. Every read fails from then on.
+	refused *memory.FullError
 }
 
 // trackHead is the ConnState of a server whose listener is a headListener.
@@ -84,26 +86,30 @@
 // been responded to then, and net/http closes the connection without a response because of the *net.OpError.
 func (c *headConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if after := c.count(n); after != nil {
+	refused, first := c.count(n)
+	if first {
 		headsRefused.Inc()
 		_, _ = io.WriteString(c.Conn, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: "+
-			strconv.FormatFloat(after.RetryAfter.Seconds(), 'f', 3, 64)+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: after}
+			strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 3, 64)+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	}
+	if refused != nil {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: refused}
 	}
 	return n, err
 }
 
-// count counts bytes of a head, if one is read. It returns an error if there is no memory for them.
-func (c *headConn) count(n int) *memory.FullError {
+// count counts bytes of a head, if one is read. It returns why the connection is refused, or nil, and whether it is from
+// now on.
+func (c *headConn) count(n int) (refused *memory.FullError, first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.reading {
-		return nil
+	if c.refused != nil || !c.reading {
+		return c.refused, false
 	}
 	c.read += int64(n)
 	if c.read <= uncountedHead {
-		return nil
+		return nil, false
 	}
-	full, _ := c.held.Resize(c.read).(*memory.FullError)
-	return full
+	c.refused, _ = c.held.Resize(c.read).(*memory.FullError)
+	return c.refused, c.refused != nil
 }
