gateway: refused calls of other VMs hold no memory

A call of another VM over maxPeerCall got its reservation and was refused without releasing it, so that each such call shrank the budget for requests for as long as the process lived.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -130,12 +130,13 @@
 
 // servePeerCall serves a call of another VM that is no request of a caller, within the memory for requests.
 func (g *Gateway) servePeerCall(mux http.Handler, w http.ResponseWriter, r *http.Request) {
-	held, err := g.requestMemory.Reserve(max(0, r.ContentLength))
+	held := g.requestMemory.Open()
+	defer held.Release()
+	err := held.Resize(max(0, r.ContentLength))
 	if err != nil || r.ContentLength < 0 || r.ContentLength > maxPeerCall {
 		klog.ErrorS(err, "gateway: call of another VM refused", "path", r.URL.Path, "bytes", r.ContentLength)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer held.Release()
 	mux.ServeHTTP(w, r)
 }
