poison: no work for requests while no endpoint is probed

Each request built a lazy fingerprint before it was known whether there was anything to compare it with, and made a weak pointer for each run compared. The comparison is the same, in the order of its cost.

--- a/poison/probe.go
+++ b/poison/probe.go
@@ -125,6 +125,9 @@
 	if r.equalRunBreaks(request) {
 		return refusedProbeWait
 	}
+	if len(r.probed) == 0 {
+		return 0
+	}
 	wait := time.Duration(0)
 	fingerprint := sync.OnceValue(func() uint64 { return r.completed.fingerprint(request) })
 	for p, s := range r.probed {
@@ -159,7 +162,7 @@
 // containsEqual reports whether a run of another request that is equal to this one, with its fingerprint, is in a list.
 func containsEqual(runs []endedRun, request *relay.Request, fingerprint func() uint64) bool {
 	return slices.ContainsFunc(runs, func(run endedRun) bool {
-		return run.of != weak.Make(request) && run.request.Target == request.Target && run.fingerprint == fingerprint()
+		return run.request.Target == request.Target && run.fingerprint == fingerprint() && run.of != weak.Make(request)
 	})
 }
 
