--- a/caller/generate.go
+++ b/caller/generate.go
@@ -92,9 +92,8 @@
 	if size < 0 {
 		size = l.MaxBody
 	}
-	var full *memory.FullError
-	if errors.As(x.held.Resize(memory.RequestOverhead+size), &full) {
-		return nil, full.Refusal()
+	if failed := x.held.Admit(memory.RequestOverhead + size); failed != nil {
+		return nil, failed
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, l.MaxBody))
 	var tooLong *http.MaxBytesError
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -19,7 +19,7 @@
 		return nil, tooLarge(nil)
 	}
 	overhead := memory.RequestOverhead + headBytes(r)
-	if failed := reserve(held, overhead+max(0, r.ContentLength)); failed != nil {
+	if failed := held.Admit(overhead + max(0, r.ContentLength)); failed != nil {
 		return nil, failed
 	}
 	if h.intake != nil {
@@ -61,7 +61,7 @@
 	for {
 		if len(body) == cap(body) {
 			size := max(minUnknownBody, 2*cap(body))
-			if failed := reserve(held, overhead+int64(size+cap(body))); failed != nil {
+			if failed := held.Admit(overhead + int64(size+cap(body))); failed != nil {
 				return nil, failed
 			}
 			body = append(make([]byte, 0, size), body...)
@@ -71,22 +71,13 @@
 		switch {
 		case err == io.EOF:
 			body = bytes.Clone(body)
-			return body, reserve(held, overhead+int64(len(body)))
+			return body, held.Admit(overhead + int64(len(body)))
 		case err != nil:
 			return nil, readFailure(err)
 		}
 	}
 }
 
-// reserve resizes a reservation. The failure says when the caller should retry.
-func reserve(held *memory.Reservation, bytes int64) *failure.Request {
-	var full *memory.FullError
-	if errors.As(held.Resize(bytes), &full) {
-		return full.Refusal()
-	}
-	return nil
-}
-
 // readFailure returns the failure of a request whose body could not be read.
 func readFailure(err error) *failure.Request {
 	var large *http.MaxBytesError
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -1,10 +1,12 @@
 package memory
 
 import (
+	"errors"
 	"math"
 	"sync"
 	"time"
 
+	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
 )
 
@@ -82,6 +84,15 @@
 	return nil
 }
 
+// Admit changes the size of the reservation of a request. It returns the failure of the request if there is no room.
+func (r *Reservation) Admit(bytes int64) *failure.Request {
+	var full *FullError
+	if errors.As(r.Resize(bytes), &full) {
+		return full.Refusal()
+	}
+	return nil
+}
+
 // Release ends a reservation. Further calls, and those for a nil reservation, do nothing.
 func (r *Reservation) Release() {
 	if r != nil {
