memory: responses have the same budget on every VM

Cause: the budget of responses was a fraction of the VM's memory, 38 MiB where it is not known. Endpoints that send without end fill the budget, and the collector lets as much garbage grow beside it. On a VM of 144 MB the fraction was 15 MB, so that responses of the longest accepted length, 16 MiB, always failed after their request had run.

Change: 24 MiB for responses on every VM: the longest response fits beside shorter ones.

TestLongestResponseFits failed before (VMs of 100 and 144 MB) and passes.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -19,13 +19,17 @@
 	// baseBytes is the memory of a process, in bytes, without requests and responses: the state of the fleet, idle
 	// connections and the program itself.
 	baseBytes = 64 << 20
-	// requestFraction, headFraction and responseFraction are the fractions of the memory above baseBytes for requests,
-	// for heads of requests that arrive, and for responses. The rest is for buffers of the kernel and garbage.
-	requestFraction, headFraction, responseFraction = 0.4, 0.05, 0.2
+	// requestFraction and headFraction are the fractions of the memory above baseBytes for requests, and for heads of
+	// requests that arrive. The rest is for responses, buffers of the kernel and garbage.
+	requestFraction, headFraction = 0.4, 0.05
+	// responseBytes is the memory for responses, in bytes, whatever the VM has: endpoints that send without end fill it,
+	// and the collector lets as much garbage grow beside it. The longest response that is accepted (16 MiB) fits beside
+	// shorter ones.
+	responseBytes = 24 << 20
 	// heapFraction is the fraction of a VM's memory at which the garbage collector runs as often as necessary.
 	heapFraction = 0.8
-	// minRequests, minHeads and minResponses are the least that is taken for each, in bytes.
-	minRequests, minHeads, minResponses = 16 << 20, 4 << 20, 8 << 20
+	// minRequests and minHeads are the least that is taken for each, in bytes.
+	minRequests, minHeads = 16 << 20, 4 << 20
 )
 
 // Limits states how the memory of a VM is used, in bytes.
@@ -44,7 +48,7 @@
 	return Limits{
 		Requests:  max(minRequests, int64(free*requestFraction)),
 		Heads:     max(minHeads, int64(free*headFraction)),
-		Responses: max(minResponses, int64(free*responseFraction)),
+		Responses: responseBytes,
 		Heap:      int64(float64(vm) * heapFraction),
 	}
 }
--- a/relay/pieces_test.go
+++ b/relay/pieces_test.go
@@ -132,3 +132,16 @@
 		t.Errorf("%d bytes are still held", held)
 	}
 }
+
+// The longest response that is accepted must fit into the memory of each VM, beside shorter ones: it would fail after its
+// request has run.
+func TestLongestResponseFits(t *testing.T) {
+	for _, vm := range []int64{0, 100e6, 144e6, 284e6, 1048e6} {
+		r := bodyReader{budget: memory.NewBudget(memory.LimitsOf(vm).Responses, nil)}
+		for _, size := range []int64{64 << 10, 256 << 10, DefaultMaxResponseBytes} {
+			if _, err := r.read(io.LimitReader(zeroes{}, size), -1, DefaultMaxResponseBytes); err != nil {
+				t.Errorf("VM of %d: a response of %d bytes failed: %v", vm, size, err)
+			}
+		}
+	}
+}
