origin: streams of a route that has moved are not inferred

What callers could see: a stream that began at one service goes on at another, to which its route has moved, without a sign.

Cause: a stream without a record was bound to the only version of the service that the route leads to now. While each service has one version no records are sent, so that the loss of the VM that began the stream was enough.

Ruled out: a key for each route in the store. A longer prefix that comes or goes moves streams as well, without a change of the route that remains.

Change: services between which a configuration divides or moves the resumable streams of one path count as further versions of each other, also in the store.

TestMovedRouteIsNotInferred: four of six cases failed before (got v1, want origin-unknown), all pass after.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -72,6 +72,7 @@
 		klog.ErrorS(err, "gateway: malformed configuration, keeping the current one")
 		return 0
 	}
+	g.origins.SetConfig(c)
 	if g.state.setConfig(c) {
 		g.freshness.SetInForce(c.Version)
 		klog.InfoS("gateway: configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "organisations", c.Organisations.Len())
--- a/origin/history.go
+++ b/origin/history.go
@@ -1,10 +1,12 @@
 package origin
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/routes"
 )
 
 // history records which software versions of each service were registered when. It is not safe for
@@ -14,6 +16,10 @@
 	// changes; zero before that.
 	listedAt, currentSince time.Time
 	services               map[string]map[string]*sighting
+	// config is the newest configuration, or nil. joined holds for each service hashes of the others that may have begun
+	// a stream which is taken up there.
+	config *routes.Config
+	joined map[string]map[uint32]bool
 }
 
 // sighting states when endpoints of a software version were registered.
@@ -22,7 +28,9 @@
 	lastAt    time.Time
 }
 
-func newHistory() *history { return &history{services: map[string]map[string]*sighting{}} }
+func newHistory() *history {
+	return &history{services: map[string]map[string]*sighting{}, joined: map[string]map[uint32]bool{}}
+}
 
 // apply records the changes of a snapshot.
 func (h *history) apply(now time.Time, changes []directory.Change) {
@@ -68,7 +76,7 @@
 // view is what a VM knows about the software of a service.
 type view struct {
 	// versions are the hashes of the versions that may have begun a stream, sorted: those of which an endpoint was
-	// registered within the window, and those that the service is registered to have had.
+	// registered within the window, those that the service is registered to have had, and one for each joined service.
 	versions []uint32
 	// covered is set if there can have been no other version.
 	covered bool
@@ -94,6 +102,7 @@
 		hash := softwareHash(directory.Software{Service: service, Version: version})
 		v.versions = append(v.versions, hash)
 	}
+	v.versions = slices.AppendSeq(v.versions, maps.Keys(h.joined[service]))
 	slices.Sort(v.versions)
 	return v
 }
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -16,6 +16,7 @@
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/relay"
+	"github.com/springweir/springweir/routes"
 	"github.com/springweir/springweir/table"
 )
 
@@ -82,6 +83,15 @@
 	t.history.setCurrent(t.cfg.Now(), current)
 }
 
+// SetConfig records a configuration before it is put in force. Older ones than the last have no effect.
+func (t *Tracker) SetConfig(c *routes.Config) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if before := t.history.config; before == nil || c.Version > before.Version {
+		t.history.setConfig(c)
+	}
+}
+
 // Run drops old records, sends those that were not needed before, and keeps the versions of the services registered,
 // until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -513,3 +513,58 @@
 		}
 	})
 }
+
+// configWith returns a configuration whose streams go to the services of each prefix.
+func configWith(version uint64, prefixes map[string][]string) *routes.Config {
+	c := &routes.Config{Version: version}
+	for prefix, services := range prefixes {
+		r := routes.Route{Host: "h", Prefix: prefix, Kind: routes.Stream, Resumable: true}
+		for _, s := range services {
+			r.Targets = append(r.Targets, routes.Target{Service: s, Weight: 1})
+		}
+		c.Routes = append(c.Routes, r)
+	}
+	c.Index()
+	return c
+}
+
+// Guards against a stream that goes on at another service because its route has moved there: the service that the
+// route leads to now has one version, and the VM that began the stream is gone, with its record or after it expired.
+func TestMovedRouteIsNotInferred(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		before, after map[string][]string
+		joined        bool
+	}{
+		{"the route moves", map[string][]string{"/": {"other"}}, map[string][]string{"/": {"llm"}}, true},
+		{"a split ends", map[string][]string{"/": {"llm", "other"}}, map[string][]string{"/": {"llm"}}, true},
+		{"a longer prefix comes", map[string][]string{"/": {"other"}}, map[string][]string{"/": {"other"}, "/a/": {"llm"}}, true},
+		{"a longer prefix goes", map[string][]string{"/": {"llm"}, "/a/": {"other"}}, map[string][]string{"/": {"llm"}}, true},
+		{"nothing moves", map[string][]string{"/": {"llm"}, "/a/": {"other"}}, map[string][]string{"/": {"llm"}, "/a/": {"other"}}, false},
+		{"other paths come and go", map[string][]string{"/a/": {"llm"}, "/b/": {"other"}}, map[string][]string{"/a/": {"llm"}, "/c/": {"other"}}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
+				for _, vm := range r.vms {
+					vm.SetConfig(configWith(1, tc.before))
+				}
+				r.maintainAll(testWindow + time.Second)
+				for _, vm := range r.vms {
+					vm.SetConfig(configWith(2, tc.after))
+				}
+				want := "v1"
+				if tc.joined {
+					want = string(failure.OriginUnknown)
+				}
+				checkVersion(t, "after the change", r.vms[0].takeUp("s"), want)
+				r.maintainAll(time.Second)
+				r.killAll("v1")
+				for _, vm := range r.vms {
+					vm.SetConfig(configWith(2, tc.after))
+				}
+				r.maintainAll(3 * testWindow)
+				checkVersion(t, "after all VMs were killed", r.vms[0].takeUp("s"), want)
+			})
+		})
+	}
+}
