gateway: a body of unknown length takes at most twice its size

What callers saw: chunked bodies of the operator's limit were refused for lack of memory where bodies of a known length were served.

Cause: the buffer was doubled once more to find the end of a body that fills it: 12 MiB for a body of 4 MiB.

Change: the buffer has room for one byte beyond the limit.

TestBodyOfUnknownLengthTakesTwiceItsSize fails before (refused, 12,599,296 bytes) and passes after.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -32,7 +32,7 @@
 	bounded := &stallReader{body: source, deadline: stallDeadline{stall: h.stall, set: http.NewResponseController(w).SetReadDeadline}}
 	defer bounded.deadline.remove()
 	if r.ContentLength < 0 {
-		return readUnknown(bounded, held, overhead)
+		return readUnknown(bounded, limit, held, overhead)
 	}
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(bounded, body); err != nil {
@@ -55,12 +55,16 @@
 // minUnknownBody is the size in bytes of the first buffer for a body whose length is not known.
 const minUnknownBody = 4 << 10
 
-// readUnknown reads a body whose length is not known. Its buffer is doubled whenever it is full.
-func readUnknown(source io.Reader, held *memory.Reservation, overhead int64) ([]byte, *failure.Request) {
+// readUnknown reads a body whose length is not known; it is at most limit unless that is zero. Its buffer is doubled
+// whenever it is full.
+func readUnknown(source io.Reader, limit int64, held *memory.Reservation, overhead int64) ([]byte, *failure.Request) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
 			size := max(minUnknownBody, 2*cap(body))
+			if limit > 0 {
+				size = min(size, int(limit)+1) // the last byte is for the end of the body
+			}
 			if failed := held.Admit(overhead + int64(size+cap(body))); failed != nil {
 				return nil, failed
 			}
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// A body of the limit whose length is not known must not be refused where twice its size is free.
+func TestBodyOfUnknownLengthTakesTwiceItsSize(t *testing.T) {
+	const limit = 4 << 20
+	b := memory.NewBudget(12<<20, nil) // a quarter is kept free
+	body, failed := readUnknown(bytes.NewReader(make([]byte, limit)), limit, b.Open(), memory.RequestOverhead)
+	if failed != nil || len(body) != limit {
+		t.Errorf("%d bytes read, %v", len(body), failed)
+	}
+}
+
 // deadlineRecorder is a ResponseRecorder whose reads may have deadlines.
 type deadlineRecorder struct{ *httptest.ResponseRecorder }
 
