placement: an ejected endpoint is used once all others of its service are down

What callers saw: no-endpoint while an endpoint was up: one of three is ejected after two attempts that a standing process gave up as stalled, the other two crash.

Ruled out: counting down members as unavailable in health, so that fewer are ejected: what fails some requests would then serve beside sound endpoints.

Change: if all others of the service are down, ejected endpoints are readmitted. Engines that only prefill are left out, as those that decode stand in for them (placement.TestLongPromptsWithoutPrefillEngines failed with them).

TestEjectedEndpointIsUsedBeforeDownOnes fails before (placed on none) and passes after.

--- a/health/eject.go
+++ b/health/eject.go
@@ -99,6 +99,15 @@
 	m.level = min(maxLevel, m.level+1)
 }
 
+// Readmit makes an endpoint healthy that no other can stand in for. Its next ejection is longer.
+func (t *Tracker) Readmit(now time.Duration, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[name]; m != nil && m.status.Phase != Healthy {
+		t.readmit(now, m)
+	}
+}
+
 // readmit makes m healthy and resets its record, except for the level of its next ejection.
 func (t *Tracker) readmit(now time.Duration, m *member) {
 	t.setStatus(m, Status{})
--- a/placement/down_test.go
+++ b/placement/down_test.go
@@ -84,3 +84,39 @@
 		}
 	})
 }
+
+// Guards against requests refused, or sent to endpoints that are known to be down, while an ejected one is up and all
+// others of its group are down.
+func TestEjectedEndpointIsUsedBeforeDownOnes(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		down []string
+		want []string
+	}{
+		{"one of the others is up", []string{"p1"}, []string{"p2"}},
+		{"the others are down", []string{"p1", "p2"}, []string{"p3"}},
+		{"all are down", []string{"p1", "p2", "p3"}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, f *fixture) {
+				f.addPlain("p3", "a")
+				var attempts []relay.Plan
+				for range DefaultTuning().Health.ConsecutiveFailures {
+					attempts = append(attempts, f.plan(f.plainReq(), relay.AttemptState{}))
+				}
+				f.addPlain("p1", "a")
+				f.addPlain("p2", "a")
+				for _, a := range attempts {
+					a.Watch.Finished(brokenAttempt(), false)
+				}
+				for _, id := range tc.down {
+					f.markDown(id)
+				}
+				ids, _ := f.choices(relay.AttemptState{})
+				if !slices.Equal(ids, tc.want) {
+					t.Errorf("placed on %v, want %v", ids, tc.want)
+				}
+			})
+		})
+	}
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -240,16 +240,20 @@
 // usable returns the endpoints of the service that may be sent a request now. It omits endpoints that
 // run other software than the stream is bound to, and those that are excluded, ejected, changing their
 // role, blocked by their own signals or not expendable for a suspect. Endpoints that refuse other VMs
-// are returned only if there are no others of their group, and those that are down only as a last resort.
+// are returned only if there are no others of their group, ejected ones if all others of the service are down,
+// and those that are down only as a last resort.
 func (d *decision) usable(excluded []string) []*directory.Endpoint {
 	p := d.p
 	isDown, refusingPeers, allHealthy := p.loads.downNow(d.now), p.loads.refusingPeers(), p.health.AllHealthy()
 	registered := p.directory.Snapshot().Service(d.req.Service)
 	candidates := make([]*directory.Endpoint, 0, len(registered))
-	var refusing, down []*directory.Endpoint
+	var refusing, ejected, down []*directory.Endpoint
 	for _, e := range registered {
 		switch {
-		case !d.prior.Allows(e), slices.Contains(excluded, e.ID), d.isUnheard(e), !allHealthy && !p.health.Status(e.ID).Usable(d.now.Sub(p.start)), p.loads.changesRole(d.now, e), d.isBlocked(e):
+		case !d.prior.Allows(e), slices.Contains(excluded, e.ID), d.isUnheard(e):
+		case !allHealthy && !p.isHealthy(d.now, e):
+			ejected = append(ejected, e)
+		case p.loads.changesRole(d.now, e), d.isBlocked(e):
 		case isDown.get(e) != nil:
 			if d.now.Sub(isDown.get(e).downAt) >= downRetryInterval {
 				down = append(down, e)
@@ -260,7 +264,34 @@
 			candidates = append(candidates, e)
 		}
 	}
-	return d.expendable(withFallbacks(candidates, refusing, down))
+	return d.expendable(withFallbacks(candidates, refusing, d.lastUp(registered, ejected), down))
+}
+
+// isHealthy reports whether an endpoint is not ejected. The caller holds mu.
+func (p *Planner) isHealthy(now time.Time, e *directory.Endpoint) bool {
+	return p.health.Status(e.ID).Usable(now.Sub(p.start))
+}
+
+// lastUp returns the ejected endpoints if all others of the service are down. They are no longer ejected: what fails some
+// requests serves callers better than what accepts none. Engines that only prefill are left out, since others can do it.
+func (d *decision) lastUp(registered, ejected []*directory.Endpoint) []*directory.Endpoint {
+	isDown := d.p.loads.downNow(d.now)
+	isUp := func(e *directory.Endpoint) bool {
+		return !e.Group().Prefills && isDown.get(e) == nil && d.p.isHealthy(d.now, e)
+	}
+	if len(ejected) == 0 || slices.ContainsFunc(registered, isUp) {
+		return nil
+	}
+	var last []*directory.Endpoint
+	for _, e := range ejected {
+		if e.Group().Prefills || isDown.get(e) != nil || d.p.loads.changesRole(d.now, e) || d.isBlocked(e) {
+			continue
+		}
+		klog.InfoS("placement: endpoint is no longer ejected, all others are down", "endpoint", e.ID, "service", e.Service)
+		d.p.health.Readmit(d.now.Sub(d.p.start), e.ID)
+		last = append(last, e)
+	}
+	return last
 }
 
 // withFallbacks returns the first list of endpoints, and of each later one those of groups that no
