placement: last endpoints that are up are found only if any is ejected

lastUp computed the endpoints that are down a second time for each plan, before it looked whether any is ejected. It gets the set that usable has. It stands with the other decisions about endpoints that are down, and isUp uses isHealthy instead of the same expression. Behaviour is as before.

--- a/placement/down.go
+++ b/placement/down.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/springweir/springweir/directory"
 )
 
@@ -58,6 +60,32 @@
 // the IDs of the engines whose role change this VM has ordered. The caller holds mu.
 func (p *Planner) isUp(e *directory.Endpoint, changing []string) bool {
 	now := p.now()
-	return !p.loads.get(e).down(now) && p.health.Status(e.ID).Usable(now.Sub(p.start)) &&
+	return !p.loads.get(e).down(now) && p.isHealthy(now, e) &&
 		!p.loads.changesRole(now, e) && !slices.Contains(changing, e.ID)
 }
+
+// isHealthy reports whether an endpoint is not ejected. The caller holds mu.
+func (p *Planner) isHealthy(now time.Time, e *directory.Endpoint) bool {
+	return p.health.Status(e.ID).Usable(now.Sub(p.start))
+}
+
+// lastUp returns the ejected endpoints if all others of the service are down. They are no longer ejected: what fails some
+// requests serves callers better than what accepts none. Engines that only prefill are left out, since others can do it.
+func (d *decision) lastUp(registered, ejected []*directory.Endpoint, isDown loadSet) []*directory.Endpoint {
+	isUp := func(e *directory.Endpoint) bool {
+		return !e.Group().Prefills && isDown.get(e) == nil && d.p.isHealthy(d.now, e)
+	}
+	if len(ejected) == 0 || slices.ContainsFunc(registered, isUp) {
+		return nil
+	}
+	var last []*directory.Endpoint
+	for _, e := range ejected {
+		if e.Group().Prefills || isDown.get(e) != nil || d.p.loads.changesRole(d.now, e) || d.isBlocked(e) {
+			continue
+		}
+		klog.InfoS("placement: endpoint is no longer ejected, all others are down", "endpoint", e.ID, "service", e.Service)
+		d.p.health.Readmit(d.now.Sub(d.p.start), e.ID)
+		last = append(last, e)
+	}
+	return last
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -264,34 +264,7 @@
 			candidates = append(candidates, e)
 		}
 	}
-	return d.expendable(withFallbacks(candidates, refusing, d.lastUp(registered, ejected), down))
-}
-
-// isHealthy reports whether an endpoint is not ejected. The caller holds mu.
-func (p *Planner) isHealthy(now time.Time, e *directory.Endpoint) bool {
-	return p.health.Status(e.ID).Usable(now.Sub(p.start))
-}
-
-// lastUp returns the ejected endpoints if all others of the service are down. They are no longer ejected: what fails some
-// requests serves callers better than what accepts none. Engines that only prefill are left out, since others can do it.
-func (d *decision) lastUp(registered, ejected []*directory.Endpoint) []*directory.Endpoint {
-	isDown := d.p.loads.downNow(d.now)
-	isUp := func(e *directory.Endpoint) bool {
-		return !e.Group().Prefills && isDown.get(e) == nil && d.p.isHealthy(d.now, e)
-	}
-	if len(ejected) == 0 || slices.ContainsFunc(registered, isUp) {
-		return nil
-	}
-	var last []*directory.Endpoint
-	for _, e := range ejected {
-		if e.Group().Prefills || isDown.get(e) != nil || d.p.loads.changesRole(d.now, e) || d.isBlocked(e) {
-			continue
-		}
-		klog.InfoS("placement: endpoint is no longer ejected, all others are down", "endpoint", e.ID, "service", e.Service)
-		d.p.health.Readmit(d.now.Sub(d.p.start), e.ID)
-		last = append(last, e)
-	}
-	return last
+	return d.expendable(withFallbacks(candidates, refusing, d.lastUp(registered, ejected, isDown), down))
 }
 
 // withFallbacks returns the first list of endpoints, and of each later one those of groups that no
