routes: one condition for resumable routes

origin tested twice for a streaming route whose streams may be continued, as relay and routes did each in their own words. Route.IsResumable serves all five places. Behaviour is as before.

--- a/origin/moves.go
+++ b/origin/moves.go
@@ -22,7 +22,7 @@
 		return list
 	}
 	for i := range c.Routes {
-		if r := &c.Routes[i]; r.Kind == routes.Stream && r.Resumable {
+		if r := &c.Routes[i]; r.IsResumable() {
 			list[routeKey{host: strings.ToLower(r.Host), prefix: r.Prefix}] = r
 		}
 	}
@@ -34,7 +34,7 @@
 	if r := list[key]; r != nil || c == nil {
 		return r
 	}
-	if r := c.Lookup(key.host, key.prefix); r != nil && r.Kind == routes.Stream && r.Resumable {
+	if r := c.Lookup(key.host, key.prefix); r != nil && r.IsResumable() {
 		return r
 	}
 	return nil
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -7,7 +7,6 @@
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
-	"github.com/springweir/springweir/routes"
 )
 
 // The first event that the caller receives binds a stream to the software version of its endpoint. All
@@ -59,7 +58,7 @@
 
 // resumable reports whether callers may take up the request's stream after a break.
 func (j *job) resumable() bool {
-	return j.req.Route.Kind == routes.Stream && j.req.Route.Resumable
+	return j.req.Route.IsResumable()
 }
 
 // bind binds the stream to the software of the endpoint whose event is about to be forwarded. It returns
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -59,9 +59,12 @@
 
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+	return r.Kind == Idempotent || r.IsResumable()
 }
 
+// IsResumable reports whether the streams of the route may be continued on another endpoint.
+func (r *Route) IsResumable() bool { return r.Kind == Stream && r.Resumable }
+
 // Service selects the service of one request by weight; draw is uniformly distributed over [0, 1).
 func (r *Route) Service(draw float64) string {
 	total := 0.0
@@ -171,7 +174,7 @@
 	longest := time.Duration(0)
 	for _, r := range c.Routes {
 		switch {
-		case r.Kind != Stream || !r.Resumable:
+		case !r.IsResumable():
 		case r.Timeout == 0:
 			longest = max(longest, unlimitedStream)
 		default:
