gateway: record for how long a VM is not ready, and for want of what

Readiness has four conditions, and nothing recorded which of them failed or for how long, so that hypotheses on lost service after a restart could not be told apart. Logs on each change, springweir_ready, springweir_unready_seconds_total by cause, and registered endpoints by service and zone.

No behaviour changes. Tests: TestUnreadyCauses, TestUnreadyTimeIsCountedByCause.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,7 @@
 	platform  Platform
 	network   network.Network
 	state     *state
+	readiness *readinessLog
 	directory *directory.Directory
 	planner   *placement.Planner
 	signals   *signals.Tracker
@@ -192,6 +193,7 @@
 func New(s Settings, p Platform, n network.Network) *Gateway {
 	g := &Gateway{settings: s, platform: p, network: n, started: time.Now(), freshness: freshness.New(nil)}
 	g.peerAddresses.Store(&map[string]string{})
+	g.readiness = newReadinessLog(clock.Now())
 	g.state = &state{freshness: g.freshness, revoke: newRevokeBudget(s.RevokeWithin), applyWithin: s.ApplyWithin}
 	g.signals = signals.New(signals.Config{
 		VM: s.VM, Publish: func(n loadshare.Announcement) { g.exchange.Broadcast(n) }, Endpoints: func() *directory.Snapshot { return g.directory.Snapshot() },
@@ -324,6 +326,7 @@
 	group.Go(func() error { g.awaitPeers(workCtx); g.followEndpoints(workCtx); return nil })
 	group.Go(func() error { g.closeStaleConnections(workCtx); return nil })
 	group.Go(func() error { clock.Watch(workCtx); return nil })
+	group.Go(func() error { loop.Every(workCtx, readinessInterval, func() { g.observeReadiness() }); return nil })
 	group.Go(func() error { g.roster.Run(workCtx); return nil })
 	group.Go(func() error { g.awaitPeers(workCtx); g.guard.Run(workCtx); return nil })
 	group.Go(func() error { g.awaitPeers(leadingCtx); g.duties.Run(leadingCtx); return nil })
@@ -431,12 +434,6 @@
 	return nil
 }
 
-func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !g.state.ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // stopMargin is the part of the grace period reserved for the process's exit.
 const stopMargin = time.Second
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -54,6 +54,11 @@
 // serveMetrics writes the metrics page.
 func (g *Gateway) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WritePrometheus(w, true)
+	ready := uint64(0)
+	if g.observeReadiness() == "" {
+		ready = 1
+	}
+	metrics.WriteGaugeUint64(w, "springweir_ready", ready)
 	metrics.WriteGaugeUint64(w, "springweir_config_version", g.state.version())
 	if age, known := g.freshness.Age(); known {
 		metrics.WriteGaugeFloat64(w, "springweir_config_age_seconds", age.Seconds())
@@ -62,7 +67,7 @@
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`springweir_memory_held_bytes{part=%q}`, part), uint64(budget.Held()))
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`springweir_memory_limit_bytes{part=%q}`, part), uint64(budget.Total()))
 	}
-	metrics.WriteGaugeUint64(w, "springweir_endpoints", uint64(g.directory.Snapshot().Len()))
+	g.writeEndpointCounts(w)
 	limits, backoffs := g.signals.Active()
 	metrics.WriteGaugeUint64(w, "springweir_endpoint_limits", uint64(limits))
 	metrics.WriteGaugeUint64(w, "springweir_endpoint_backoffs", uint64(backoffs))
@@ -70,3 +75,17 @@
 	metrics.WriteGaugeUint64(w, "springweir_reach_broken_paths", uint64(g.reach.NumBroken()))
 	metrics.WriteGaugeUint64(w, "springweir_uptime_seconds", uint64(time.Since(g.started).Seconds()))
 }
+
+// writeEndpointCounts writes the number of registered endpoints, in all and by service and zone.
+func (g *Gateway) writeEndpointCounts(w http.ResponseWriter) {
+	snapshot := g.directory.Snapshot()
+	metrics.WriteGaugeUint64(w, "springweir_endpoints", uint64(snapshot.Len()))
+	type group struct{ service, zone string }
+	counts := map[group]uint64{}
+	for _, e := range snapshot.All() {
+		counts[group{e.Service, e.Zone}]++
+	}
+	for of, n := range counts {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`springweir_endpoints_registered{service=%q,zone=%q}`, of.service, of.zone), n)
+	}
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -64,12 +64,6 @@
 	return 0
 }
 
-// ready reports whether callers may be sent to this VM.
-func (s *state) ready() bool {
-	config := s.config.Load()
-	return !s.isStopping() && config != nil && s.endpointsListed.Load() && (config.Organisations == nil || s.acceptsKeys())
-}
-
 // setConfig puts a configuration in force. It returns false if the current one is as new or newer.
 func (s *state) setConfig(c *routes.Config) bool {
 	for {
