gateway: a port that is taken, or a listener that fails, does not end the process

What callers saw: while another process had a VM's metrics port, the gateway ended at each start with 'bind: address already in use', though callers', readiness and peers' ports were free.

Cause: the errors of all listeners and of the datagram exchange ran into one errgroup, whose first error ended every part. The same for an Accept that fails with an error that net/http does not retry (ENOBUFS, ENOMEM and the network errors that accept(2) passes on).

Change: internal/port opens a port again and again, counted and logged, and replaces a listener that fails. Only the callers' port is awaited, before any other part starts, so that a second process of a VM does not act in its name.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -25,6 +24,7 @@
 	"github.com/springweir/springweir/internal/h1"
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
+	"github.com/springweir/springweir/internal/port"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/memory"
@@ -300,7 +300,7 @@
 	defer stopServing()
 	leadingCtx, stopLeading := context.WithCancel(servingCtx)
 	defer stopLeading()
-	group, workCtx := errgroup.WithContext(servingCtx)
+	var group errgroup.Group
 	callerServer := g.callerServer()
 	readinessServer := newServer(http.HandlerFunc(g.serveReadiness))
 	peerServer := newServer(g.peerHandler())
@@ -311,44 +311,43 @@
 	}
 	// Listen for callers before the readiness check can succeed: otherwise a VM that receives its
 	// configuration at once would be ready while it refuses connections.
-	listener, err := g.listenForCallers()
-	if err != nil {
-		return err
+	callers := g.callerPort(callerServer)
+	listener := callers.Open(ctx)
+	if listener == nil {
+		return nil
 	}
-	group.Go(func() error { return serveOn(callerServer, &headListener{Listener: listener, memory: g.headMemory}) })
-	group.Go(func() error { return g.serve(readinessServer, g.settings.Readiness) })
-	group.Go(func() error { return g.serve(peerServer, g.settings.Peers) })
+	run := func(ctx context.Context, f func(context.Context)) { group.Go(func() error { f(ctx); return nil }) }
+	run(servingCtx, func(ctx context.Context) { callers.Serve(ctx, listener) })
+	run(servingCtx, func(ctx context.Context) { g.port("readiness", readinessServer, g.settings.Readiness).Serve(ctx, nil) })
+	run(servingCtx, func(ctx context.Context) { g.port("peers", peerServer, g.settings.Peers).Serve(ctx, nil) })
 	if g.settings.Metrics != "" {
-		group.Go(func() error { return g.serve(metricsServer, g.settings.Metrics) })
+		run(servingCtx, func(ctx context.Context) { g.port("metrics", metricsServer, g.settings.Metrics).Serve(ctx, nil) })
 	}
-	group.Go(func() error { g.awaitPeers(workCtx); g.followConfig(workCtx); return nil })
-	group.Go(func() error { g.runConfirmer(workCtx); return nil })
-	group.Go(func() error { g.awaitPeers(workCtx); g.followEndpoints(workCtx); return nil })
-	group.Go(func() error { g.closeStaleConnections(workCtx); return nil })
-	group.Go(func() error { clock.Watch(workCtx); return nil })
-	group.Go(func() error { loop.Every(workCtx, readinessInterval, func() { g.observeReadiness() }); return nil })
-	group.Go(func() error { g.roster.Run(workCtx); return nil })
-	group.Go(func() error { g.awaitPeers(workCtx); g.guard.Run(workCtx); return nil })
-	group.Go(func() error { g.awaitPeers(leadingCtx); g.duties.Run(leadingCtx); return nil })
+	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.followConfig(ctx) })
+	run(servingCtx, g.runConfirmer)
+	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.followEndpoints(ctx) })
+	run(servingCtx, g.closeStaleConnections)
+	run(servingCtx, clock.Watch)
+	run(servingCtx, g.watchReadiness)
+	run(servingCtx, g.roster.Run)
+	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.guard.Run(ctx) })
+	run(leadingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.duties.Run(ctx) })
 	if g.scaler != nil {
-		group.Go(func() error { g.awaitPeers(workCtx); g.scaler.Watch(workCtx); return nil })
-	}
-	group.Go(func() error { g.updateMembership(workCtx); return nil })
-	group.Go(func() error { g.origins.Run(workCtx); return nil })
-	group.Go(func() error { g.reach.Run(workCtx); return nil })
-	group.Go(func() error { return g.exchange.Run(workCtx) })
-	select {
-	case <-ctx.Done():
-		stopLeading() // another VM takes over the lease while the open requests complete
-		g.stop(callerServer, peerServer)
-	case <-workCtx.Done():
+		run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.scaler.Watch(ctx) })
 	}
+	run(servingCtx, g.updateMembership)
+	run(servingCtx, g.origins.Run)
+	run(servingCtx, g.reach.Run)
+	run(servingCtx, g.runExchange)
+	<-ctx.Done()
+	stopLeading() // another VM takes over the lease while the open requests complete
+	g.stop(callerServer, peerServer)
 	stopServing()
 	_ = callerServer.Close()
 	_ = readinessServer.Close()
 	_ = peerServer.Close()
 	_ = metricsServer.Close()
-	return waitFor(group, exitTimeout)
+	return waitFor(&group, exitTimeout)
 }
 
 // exitTimeout is how long the process waits for its goroutines at exit. A call to an unavailable
@@ -395,43 +394,36 @@
 	return s
 }
 
-// serve listens at an address and serves until the server is shut down.
-func (g *Gateway) serve(s *http.Server, address string) error {
-	l, err := g.listen(address)
-	if err != nil {
-		return err
-	}
-	return serveOn(s, l)
-}
-
-func (g *Gateway) listen(address string) (net.Listener, error) {
-	l, err := g.network.Listen(address)
-	if err != nil {
-		return nil, err
-	}
-	klog.InfoS("gateway: listening", "address", address)
-	return l, nil
+// port returns one of this VM's ports.
+func (g *Gateway) port(name string, s *http.Server, address string) *port.Port {
+	return &port.Port{Name: name, Server: s, Listen: func() (net.Listener, error) { return g.network.Listen(address) }}
 }
 
-// listenForCallers listens on the callers' port. If the bandwidth of the VM's link is known, connections are
-// refused while the link is busy.
-func (g *Gateway) listenForCallers() (net.Listener, error) {
-	if g.intake == nil {
-		return g.listen(g.settings.Callers)
-	}
-	l, err := newIntakeListener(g.intake, func() (net.Listener, error) { return g.network.Listen(g.settings.Callers) })
-	if err != nil {
-		return nil, err
+// callerPort returns the callers' port. If the bandwidth of the VM's link is known, connections are refused while the link
+// is busy.
+func (g *Gateway) callerPort(s *http.Server) *port.Port {
+	p := g.port("callers", s, g.settings.Callers)
+	listen := p.Listen
+	p.Listen = func() (net.Listener, error) {
+		var l net.Listener
+		var err error
+		if g.intake == nil {
+			l, err = listen()
+		} else {
+			l, err = newIntakeListener(g.intake, listen)
+		}
+		if err != nil {
+			return nil, err
+		}
+		return &headListener{Listener: l, memory: g.headMemory}, nil
 	}
-	klog.InfoS("gateway: listening", "address", g.settings.Callers)
-	return l, nil
+	p.OnChange = func(open bool) { g.state.callersRefused.Store(!open) }
+	return p
 }
 
-func serveOn(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		return err
-	}
-	return nil
+// runExchange runs the exchange of datagrams until ctx ends.
+func (g *Gateway) runExchange(ctx context.Context) {
+	port.Retry(ctx, "datagrams", func() (struct{}, error) { return struct{}{}, g.exchange.Run(ctx) })
 }
 
 // stopMargin is the part of the grace period reserved for the process's exit.
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -10,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/internal/loop"
 )
 
 // unreadyCause names what a VM lacks to be ready; empty if it is ready.
@@ -17,6 +19,8 @@
 
 const (
 	causeStopping unreadyCause = "stopping"
+	// causePort: the callers' port cannot be opened again.
+	causePort unreadyCause = "callers-port-closed"
 	// causeConfig: no configuration is known.
 	causeConfig unreadyCause = "no-configuration"
 	// causeEndpoints: the endpoints were not read yet.
@@ -31,6 +35,8 @@
 	switch {
 	case s.isStopping():
 		return causeStopping
+	case s.callersRefused.Load():
+		return causePort
 	case config == nil:
 		return causeConfig
 	case !s.endpointsListed.Load():
@@ -95,6 +101,11 @@
 	return cause
 }
 
+// watchReadiness records the readiness until ctx ends, also while nobody asks for it.
+func (g *Gateway) watchReadiness(ctx context.Context) {
+	loop.Every(ctx, readinessInterval, func() { g.observeReadiness() })
+}
+
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if g.observeReadiness() != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/gateway/readiness_test.go
+++ b/gateway/readiness_test.go
@@ -23,12 +23,13 @@
 		func() { s.endpointsListed.Store(true) },
 		func() { s.setConfig(&routes.Config{Version: 2, Organisations: registry}); s.freshness.SetInForce(2) },
 		func() { s.freshness.Confirm(freshness.Confirmation{Version: 2, At: time.Now()}) },
+		func() { s.callersRefused.Store(true) },
 		func() { s.stop(time.Now()) },
 	} {
 		step()
 		got = append(got, s.unreadyCause())
 	}
-	if diff := cmp.Diff([]unreadyCause{causeConfig, causeEndpoints, "", causeKeys, "", causeStopping}, got); diff != "" {
+	if diff := cmp.Diff([]unreadyCause{causeConfig, causeEndpoints, "", causeKeys, "", causePort, causeStopping}, got); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,6 +17,8 @@
 	config atomic.Pointer[routes.Config]
 	// endpointsListed is set once the endpoints were read.
 	endpointsListed atomic.Bool
+	// callersRefused is set while the callers' port is closed because its listener failed.
+	callersRefused atomic.Bool
 	// shutdownAt is set when a planned stop begins, to the time at which open requests are cut off.
 	shutdownAt atomic.Pointer[time.Time]
 	// freshness tracks the age of config; revoke limits that age where API keys are checked.
