platform: a malformed part of the configuration affects only what depends on it

What callers saw: the newest configuration had one route of an unknown kind, or one organisation with keys of another shape.

Cause: a configuration was decoded whole or not at all, and its keys were replaced by digests whole or not at all. Class: one entry of a list decides on all others.

Change: parts are decoded one by one. A malformed route, or one whose service is malformed, keeps its host and prefix and refuses its requests (503, config-malformed): left out, its requests would go to a route with a shorter prefix or get 404. Malformed organisations are left out; while there are any, an unknown key gets 503 instead of 401. Malformed bounds of the number of endpoints order nothing, malformed limits limit nothing. If it is not known which requests a part is for, the whole is malformed, as before; now also without a version. VMs that run take such a version too, so that keys that it takes away and routes that it moves are in force in time, and a start gives the same answers as they do.

--- a/failure/reasons.go
+++ b/failure/reasons.go
@@ -77,6 +77,8 @@
 	KeyReused Reason = "key-reused"
 	// ConfigUnconfirmed is a request rejected by a VM whose configuration may be stale.
 	ConfigUnconfirmed Reason = "config-unconfirmed"
+	// ConfigMalformed is a request that depends on a malformed part of the configuration.
+	ConfigMalformed Reason = "config-malformed"
 	// EndpointWithheld is work rejected because a planned change is about to make
 	// the endpoint unavailable.
 	EndpointWithheld Reason = "endpoint-withheld"
@@ -215,6 +217,7 @@
 	ClaimUnknown:         http.StatusConflict,
 	KeyReused:            http.StatusUnprocessableEntity,
 	ConfigUnconfirmed:    http.StatusServiceUnavailable,
+	ConfigMalformed:      http.StatusServiceUnavailable,
 	EndpointWithheld:     http.StatusServiceUnavailable,
 	EndpointsLimited:     http.StatusServiceUnavailable,
 	PlanChanged:          http.StatusServiceUnavailable,
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -65,12 +65,15 @@
 }
 
 // applyConfig puts a configuration in force unless it is older than the current one, and returns
-// its version. A malformed row leaves the current configuration in force and has version zero.
+// its version. A row that is malformed as a whole leaves the current configuration in force and has version zero.
 func (g *Gateway) applyConfig(row table.Row) uint64 {
 	c, err := g.platform.DecodeConfig(row)
-	if err != nil {
+	switch {
+	case c == nil:
 		klog.ErrorS(err, "gateway: malformed configuration, keeping the current one")
 		return 0
+	case err != nil && c.Version > g.state.version():
+		klog.ErrorS(err, "gateway: parts of the configuration are malformed, requests that depend on them are refused", "parts", c.MalformedParts)
 	}
 	g.origins.SetConfig(c)
 	if g.state.setConfig(c) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,7 +134,8 @@
 	// endpoints register.
 	Config    table.Key
 	Endpoints string
-	// DecodeConfig and DecodeEndpoint decode the respective rows. Their errors name the row.
+	// DecodeConfig and DecodeEndpoint decode the respective rows. Their errors name the row. DecodeConfig returns a
+	// configuration and an error if only parts are malformed.
 	DecodeConfig   func(table.Row) (*routes.Config, error)
 	DecodeEndpoint func(table.Row) (directory.Registration, error)
 	// ObserveResponses sets the function called with each response of an endpoint. It may be nil.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -113,9 +113,9 @@
 	if config == nil {
 		return nil, newRefusal(failure.NoConfig, "this VM knows no configuration yet")
 	}
-	route := lookupRoute(config, r.Host, target(r))
-	if route == nil {
-		return nil, h.state.noRouteFailure()
+	route, failed := h.state.findRoute(config, r.Host, target(r))
+	if failed != nil {
+		return nil, failed
 	}
 	caller, failed := h.state.identify(config, route, call.Credential)
 	if failed != nil {
--- a/gateway/identify.go
+++ b/gateway/identify.go
@@ -36,6 +36,8 @@
 		return caller, nil
 	case organisation.IsUnknown(err) && s.configStale():
 		return nil, newRefusal(failure.ConfigUnconfirmed, "the configuration may have changed, and the key be a new one")
+	case organisation.IsUnknown(err) && config.MalformedOrganisations > 0:
+		return nil, newRefusal(failure.ConfigMalformed, "the key may be of an organisation that is malformed in the configuration")
 	}
 	return nil, &failure.Request{Code: failure.ReasonOf(err), Ran: failure.NotRun, Message: "the request carries no API key that is in force"}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,6 +60,9 @@
 	}
 	metrics.WriteGaugeUint64(w, "springweir_ready", ready)
 	metrics.WriteGaugeUint64(w, "springweir_config_version", g.state.version())
+	if config := g.state.config.Load(); config != nil {
+		metrics.WriteGaugeUint64(w, "springweir_config_malformed_parts", uint64(config.MalformedParts))
+	}
 	if age, known := g.freshness.Age(); known {
 		metrics.WriteGaugeFloat64(w, "springweir_config_age_seconds", age.Seconds())
 	}
--- a/gateway/reroute.go
+++ b/gateway/reroute.go
@@ -17,9 +17,9 @@
 	if config == r.Config {
 		return r, nil
 	}
-	route := lookupRoute(config, r.Host, r.Target)
-	if route == nil {
-		return r, s.noRouteFailure()
+	route, failed := s.findRoute(config, r.Host, r.Target)
+	if failed != nil {
+		return r, failed
 	}
 	caller, failed := s.identify(config, route, r.Credential)
 	if failed != nil {
@@ -75,7 +75,14 @@
 
 var _ relay.Router = (*state)(nil)
 
-// lookupRoute returns the route of a request as received.
-func lookupRoute(config *routes.Config, host, target string) *routes.Route {
-	return config.Lookup(withoutPort(host), withoutQuery(target))
+// findRoute returns the route of a request as received.
+func (s *state) findRoute(config *routes.Config, host, target string) (*routes.Route, *failure.Request) {
+	route := config.Lookup(withoutPort(host), withoutQuery(target))
+	switch {
+	case route == nil:
+		return nil, s.noRouteFailure()
+	case route.Malformed:
+		return nil, newRefusal(failure.ConfigMalformed, "the route is malformed in the configuration")
+	}
+	return route, nil
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -53,7 +53,9 @@
 	Resumable bool
 	// Open routes require no API key.
 	Open bool
-	// Targets are the services of the route, at least one.
+	// Malformed is set if it is only known which requests the route is for. They are refused.
+	Malformed bool
+	// Targets are the services of the route, at least one unless the route is malformed.
 	Targets []Target
 }
 
@@ -144,6 +146,9 @@
 	Limits   Limits
 	// Organisations are the organisations of the callers. If it is nil, no request requires a key.
 	Organisations *organisation.Registry
+	// MalformedParts is the number of parts of this version that could not be decoded, and MalformedOrganisations that of
+	// organisations among them, whose keys are not known.
+	MalformedParts, MalformedOrganisations int
 
 	byHost   map[string][]*Route
 	services map[string]*Service
