scaling: zones that have lost every endpoint are ordered for again

What callers would see: an engine service whose endpoints are all lost stays lost.

Cause: the plan took its zones from the registered endpoints. A zone whose last one had gone was left out, for good; with all zones, nothing was ever ordered again. Revocable endpoints of a zone leave together, and the plan may keep no ordinary one there. Class: what is not seen was taken for what there is not.

Change: the zones of the service's prices count too, once a holder has seen no endpoint of the service there for 2.5 s, so that rows which an outage of the store has dropped are written again first.

Test: TestLostZonesAreRestored; before, nothing was ordered in the lost zones, and with all zones lost the base was not served for the 40 s of the play.

--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -84,6 +84,9 @@
 	// refusalMemory is how long a *NoCapacityError counts. It lasts until the outcome of the next order
 	// is known, so that ordinary endpoints are not ordered and cancelled in turns.
 	refusalMemory = noCapacityBackoff + 2*reconcileInterval + callTimeout
+	// emptyZoneDelay is how long a zone must have had no endpoint before any are ordered there. Rows that were lost in an
+	// outage of the store are written again within two seconds, and an order by an incomplete count may end endpoints.
+	emptyZoneDelay = 2500 * time.Millisecond
 	// bootGrace is how far an endpoint may exceed its expected start duration before it is ordered
 	// again.
 	bootGrace = 3 * time.Second
@@ -94,6 +97,8 @@
 	cfg      Config
 	orders   map[zoneKey]*orderState
 	services map[string]*serviceState
+	// emptySince holds the zones in which a service may run and has no endpoint, since when in this tenure.
+	emptySince map[zoneKey]time.Time
 	// demands is filled by Watch, on every VM, so that a new lease holder has a forecast.
 	demands demandLog
 }
@@ -133,7 +138,7 @@
 
 // Lead implements duties.Duty.
 func (s *Scaler) Lead(ctx context.Context, l *lease.Lease) {
-	s.orders = map[zoneKey]*orderState{}
+	s.orders, s.emptySince = map[zoneKey]*orderState{}, map[zoneKey]time.Time{}
 	defer s.clearTargets()
 	for loop.Sleep(ctx, reconcileInterval) {
 		config := s.cfg.Services()
@@ -214,8 +219,8 @@
 	return state.highest, nil
 }
 
-// countEndpoints returns the current counts of a service in each zone. Draining endpoints are not
-// counted.
+// countEndpoints returns the current counts of a service in each zone that has endpoints or has lost them. Draining
+// endpoints are not counted.
 func (s *Scaler) countEndpoints(service *routes.Service) map[string]Zone {
 	counts := map[string]Zone{}
 	for _, e := range s.cfg.Directory.Snapshot().All() {
@@ -232,6 +237,7 @@
 		}
 		counts[e.Zone] = zoneCounts
 	}
+	s.addEmptyZones(service, counts)
 	for zone, zoneCounts := range counts {
 		state := s.orders[zoneKey{service.Name, zone, true}]
 		if state != nil && s.starting(service, state) {
@@ -243,6 +249,24 @@
 	return counts
 }
 
+// addEmptyZones adds the zones in which the service may run and has had no endpoint for emptyZoneDelay.
+func (s *Scaler) addEmptyZones(service *routes.Service, counts map[string]Zone) {
+	now := s.cfg.Now()
+	for zone := range service.Scale.ZonePrices {
+		key := zoneKey{service: service.Name, zone: zone}
+		if _, found := counts[zone]; found {
+			delete(s.emptySince, key)
+			continue
+		}
+		since, known := s.emptySince[key]
+		if !known {
+			s.emptySince[key] = now
+		} else if now.Sub(since) >= emptyZoneDelay {
+			counts[zone] = Zone{}
+		}
+	}
+}
+
 // starting reports whether ordered endpoints may still be starting.
 func (s *Scaler) starting(service *routes.Service, state *orderState) bool {
 	return s.cfg.Now().Sub(state.orderedAt) <= service.Scale.BootDuration+bootGrace
--- a/duties/scaling/scaling_test.go
+++ b/duties/scaling/scaling_test.go
@@ -137,6 +137,20 @@
 	}
 }
 
+// lose removes all endpoints of a zone, of both kinds and without notice.
+func (p *fakePlatform) lose(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, revocable := range []bool{false, true} {
+		key := zoneKey{"llm", zone, revocable}
+		for _, id := range p.endpoints[key] {
+			delete(p.serving, id)
+			p.dir.Remove(id)
+		}
+		p.endpoints[key] = nil
+	}
+}
+
 func (p *fakePlatform) restock(zone string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -300,6 +314,38 @@
 	})
 }
 
+// Guards against a service that is lost for good: nothing was ordered in a zone without any endpoint, in no zone once all
+// were lost.
+func TestLostZonesAreRestored(t *testing.T) {
+	for _, lost := range [][]string{{"z1"}, {"z0", "z1", "z2"}} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, rows := newPlatform(t), memtable.New()
+				simulate(t, p, rows, 30, func(int) {}, func(time.Duration, int) {})
+				for _, zone := range lost {
+					p.lose(zone)
+				}
+				var below time.Duration
+				simulate(t, p, rows, 40, func(int) {}, func(_ time.Duration, n int) {
+					if n < testBase {
+						below += 100 * time.Millisecond
+					}
+				})
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				for _, zone := range lost {
+					if n := len(p.endpoints[zoneKey{"llm", zone, true}]) + len(p.endpoints[zoneKey{"llm", zone, false}]); n == 0 {
+						t.Errorf("nothing was ordered in %s", zone)
+					}
+				}
+				if below > 15*time.Second {
+					t.Errorf("fewer than the base served for %v", below)
+				}
+			})
+		})
+	}
+}
+
 // Whatever zones and store do, fencing tokens of orders never decrease, the zones' maxima hold, and
 // the counts stabilise once faults end.
 func TestCountsConverge(t *testing.T) {
