lease: a VM resumes the lease of its earlier process at once

Cause: contenders waited for the term of a lease whose holder had died with all others (3 s from their first look), and the new holder for the time between calls of two VMs (3.5 s), also on the VM of the earlier holder.

Change: with SingleProcess a process knows that earlier ones of its VM have ended, and takes their lease at its first look; the duties of a VM that held the previous tenure too start after the margin alone. A gateway contends only once it has the callers' port, which no two processes of a VM can have. After a restore of the store the waits are as before.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -41,6 +41,8 @@
 	// Epoch returns the newest epoch of the store (see table.Version); nil if the store has no
 	// epochs.
 	Epoch func() uint64
+	// SingleProcess states that each VM runs one process at a time.
+	SingleProcess bool
 	// HandoverDelay is the minimum time between calls of two successive holders.
 	HandoverDelay time.Duration
 }
@@ -70,7 +72,8 @@
 func NewRunner(cfg Config, duties ...Duty) *Runner {
 	return &Runner{cfg: cfg, duties: duties, holder: lease.NewHolder(cfg.Rows, lease.Config{
 		Pool: leasePool, Zone: leaseZone, Identity: cfg.Self,
-		TTL: leaseTTL, Renew: leaseRenew, Poll: leasePoll, Rank: cfg.Rank, Eligible: cfg.Eligible, Epoch: cfg.Epoch,
+		SingleProcess: cfg.SingleProcess,
+		TTL:           leaseTTL, Renew: leaseRenew, Poll: leasePoll, Rank: cfg.Rank, Eligible: cfg.Eligible, Epoch: cfg.Epoch,
 	})}
 }
 
@@ -78,11 +81,15 @@
 func (r *Runner) Run(ctx context.Context) { r.holder.Run(ctx, r.lead) }
 
 // lead runs the duties for one tenure. Unless the tenure is the first, it starts by waiting until
-// no call of the previous holder can take effect any more.
+// no call of the previous holder can take effect any more. Calls of one VM need not be HandoverDelay apart.
 func (r *Runner) lead(ctx context.Context, l *lease.Lease) {
 	klog.InfoS("duties: lease acquired", "fence", l.Fence())
 	defer klog.InfoS("duties: lease ended", "fence", l.Fence())
-	if !l.First() && !loop.Sleep(ctx, r.cfg.HandoverDelay+handoverMargin) {
+	delay := r.cfg.HandoverDelay + handoverMargin
+	if l.SameVM() {
+		delay = handoverMargin
+	}
+	if !l.First() && !loop.Sleep(ctx, delay) {
 		return
 	}
 	var running sync.WaitGroup
--- a/duties/scaling/scaling_test.go
+++ b/duties/scaling/scaling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -206,7 +207,8 @@
 	scaler := New(Config{VM: vm, Rows: rows, Directory: p.dir, Platform: p, Services: func() *routes.Config { return config }})
 	duties.NewRunner(duties.Config{
 		Rows: rows, HandoverDelay: 3 * time.Second, Rank: func() int { return rank },
-		Self: lease.Identity{VM: vm, Process: "boot-" + vm, Address: "127.0.0.1:1"},
+		SingleProcess: true,
+		Self: lease.Identity{VM: vm, Process: crand.Text(), Address: "127.0.0.1:1"},
 	}, scaler).Run(ctx)
 }
 
@@ -346,6 +348,29 @@
 	}
 }
 
+// Guards against a service that stays lost long after all VMs are back: nothing was ordered until the lease of a dead
+// process had ended and the time between calls of two VMs was over.
+func TestLostServiceIsRestoredOnceAllVMsAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newPlatform(t), memtable.New()
+		simulate(t, p, rows, 30, func(second int) { rows.SetDown(second == 29) }, func(time.Duration, int) {})
+		for zone := range 3 {
+			p.lose(fmt.Sprint("z", zone))
+		}
+		time.Sleep(4 * time.Second)
+		rows.SetDown(false)
+		var below time.Duration
+		simulate(t, p, rows, 40, func(int) {}, func(_ time.Duration, n int) {
+			if n < testBase {
+				below += 100 * time.Millisecond
+			}
+		})
+		if limit := emptyZoneDelay + testBoot + 2500*time.Millisecond; below > limit {
+			t.Errorf("fewer than the base served for %v, want at most %v", below, limit)
+		}
+	})
+}
+
 // Whatever zones and store do, fencing tokens of orders never decrease, the zones' maxima hold, and
 // the counts stabilise once faults end.
 func TestCountsConverge(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -230,6 +230,7 @@
 	})
 	g.duties = duties.NewRunner(duties.Config{
 		Rows: p.Rows, Epoch: p.Epoch, HandoverDelay: s.Lease, Rank: g.exchange.Rank,
+		SingleProcess: true, // contends only once it has the callers' port
 		Self: lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
 	}, g.listDuties(wallClock)...)
 	g.newReach()
--- a/lease/config.go
+++ b/lease/config.go
@@ -24,6 +24,9 @@
 	// Margin is subtracted from the holder's view of the lease duration, to allow for differing
 	// clock rates.
 	Margin time.Duration
+	// SingleProcess states that a VM runs one process at a time. A process then knows that earlier ones of its VM have
+	// ended, and does not wait for the end of their leases.
+	SingleProcess bool
 	// Eligible reports whether this process may contend now; nil means always.
 	Eligible func() bool
 	// Rank is this process's rank among the contenders, from zero; those beyond the first few
@@ -67,3 +70,8 @@
 }
 
 func (c Config) pollDelay() time.Duration { return loop.Jitter(pollInterval(c.Poll, c.rank())) }
+
+// succeeds reports whether a holder is an earlier process of this VM, which has ended.
+func (c Config) succeeds(holder Identity) bool {
+	return c.SingleProcess && holder.VM == c.Identity.VM && holder.Process != c.Identity.Process
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -100,6 +100,7 @@
 	obs.observeVersion(row.Version, now)
 	epoch := h.cfg.epoch()
 	obs.observeEpoch(epoch, now)
+	rec.Released = rec.Released || h.cfg.succeeds(rec.Holder)
 	if wait := takeoverWait(row, rec, *obs, h.cfg.TTL, now); wait > 0 {
 		return nil, wait, nil
 	}
@@ -111,12 +112,13 @@
 // fencing token is above that of any earlier tenure, because the row is never deleted.
 func (h *Holder) acquire(ctx context.Context, row table.Row, previous Record, epoch uint64) (*Lease, error) {
 	l := &Lease{
-		svc:   h.svc,
-		cfg:   h.cfg,
-		fence: max(previous.Fence, h.floor.Load(), epochFence(epoch)) + 1,
-		first: row.Version == table.Absent,
-		epoch: epoch,
-		lost:  make(chan struct{}),
+		svc:    h.svc,
+		cfg:    h.cfg,
+		fence:  max(previous.Fence, h.floor.Load(), epochFence(epoch)) + 1,
+		first:  row.Version == table.Absent,
+		sameVM: row.Version != table.Absent && previous.Holder.VM == h.cfg.Identity.VM && previous.Epoch == epoch,
+		epoch:  epoch,
+		lost:   make(chan struct{}),
 	}
 	sentAt := clock.Now()
 	version, err := l.write(ctx, row.Version, l.record())
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -18,6 +18,8 @@
 	cfg   Config
 	fence uint64
 	first bool
+	// sameVM is set if this VM held the previous tenure.
+	sameVM bool
 	// epoch is the table service's epoch in which the tenure began. The tenure ends with it.
 	epoch uint64
 
@@ -46,6 +48,9 @@
 // First reports whether the lease's row did not exist before this tenure.
 func (l *Lease) First() bool { return l.first }
 
+// SameVM reports whether this VM held the previous tenure too, so that no other VM has acted since.
+func (l *Lease) SameVM() bool { return l.sameVM }
+
 // Holder returns the process that holds the lease.
 func (l *Lease) Holder() Identity { return l.cfg.Identity }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,6 +86,51 @@
 	return time.Since(startedAt)
 }
 
+// Guards against a VM that waits for the end of a lease that its own earlier process held, and against another VM that
+// does not.
+func TestRestartedVMResumesItsLease(t *testing.T) {
+	for _, tc := range []struct {
+		name, vm      string
+		singleProcess bool
+		atMost        time.Duration
+		atLeast       time.Duration
+	}{
+		{"the same VM", "a", true, DefaultPoll, 0},
+		{"the same VM, which may run several processes", "a", false, time.Hour, DefaultTTL - DefaultRenew},
+		{"another VM", "b", true, time.Hour, DefaultTTL - DefaultRenew},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				svc := memtable.New()
+				first := start(t, svc, "a", 0)
+				waitUntil(t, "the first tenure", first.holds)
+				time.Sleep(time.Minute)
+				first.Kill()
+				ctx, stop := context.WithCancel(t.Context())
+				var next atomic.Pointer[Lease]
+				var running sync.WaitGroup
+				running.Go(func() {
+					NewHolder(svc, Config{
+						Pool: "chat", Zone: "a", Identity: Identity{VM: tc.vm, Process: "later", Address: "later"}, SingleProcess: tc.singleProcess,
+					}).Run(ctx, func(ctx context.Context, l *Lease) {
+						next.Store(l)
+						<-ctx.Done()
+					})
+				})
+				took := waitUntil(t, "the next tenure", func() bool { return next.Load() != nil })
+				if took > tc.atMost || took < tc.atLeast {
+					t.Errorf("took %v", took)
+				}
+				if l := next.Load(); l.Fence() <= first.current().Fence() || l.SameVM() != (tc.vm == "a") || l.First() {
+					t.Errorf("fence %d, same VM %v, first %v", l.Fence(), l.SameVM(), l.First())
+				}
+				stop()
+				running.Wait()
+			})
+		})
+	}
+}
+
 func TestTakeoverWait(t *testing.T) {
 	now := time.Now()
 	row := table.Row{Version: 4}
