--- a/duties/scaling/scaling_test.go
+++ b/duties/scaling/scaling_test.go
@@ -208,7 +208,7 @@
 	duties.NewRunner(duties.Config{
 		Rows: rows, HandoverDelay: 3 * time.Second, Rank: func() int { return rank },
 		SingleProcess: true,
-		Self: lease.Identity{VM: vm, Process: crand.Text(), Address: "127.0.0.1:1"},
+		Self:          lease.Identity{VM: vm, Process: crand.Text(), Address: "127.0.0.1:1"},
 	}, scaler).Run(ctx)
 }
 
