gateway: the last configuration in force outlives all VMs

What callers saw: the operators' row held what is no configuration; it came 3 s before all VMs were killed. A single VM that restarted had the same fate.

Cause: the last version that could be decoded was known to the running processes only. Class: what the living know is lost with them.

Change: lastconfig keeps it in the platform's store, compressed and with digests for keys, written by one of the first three VMs half a second after it is in force. A VM without a configuration whose operators' row is missing or malformed as a whole takes the copy, and valid versions that came after it from the store's history. Keys are refused as before once their age is over the bound (TestKeysRejectedAfterMalformedConfiguration is unchanged); the VMs stay ready then, as no other one could do better, and serve what needs no key.

Tests: TestLastConfigurationOutlivesAllVMs (four cases), TestConfigurationBeforeTheUnusableOneIsFound and TestLastConfigurationIsKeptAgainAfterARestore; on the parent (without waiting for the copy) the started gateway was never ready in any of them.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,8 +24,11 @@
 	f := &table.Follower{
 		Feed:  g.configs,
 		Table: g.platform.Config.Table,
-		OnList: func(rows []table.Row, _ table.Listing) {
+		OnList: func(rows []table.Row, listing table.Listing) {
 			version = 0
+			if listing.NewEpoch {
+				g.keepConfigAgain()
+			}
 			for _, row := range rows {
 				version = g.applyConfigChange(table.Change{Row: row}, version)
 			}
@@ -38,6 +41,7 @@
 		OnResponse: func() {
 			g.stored.Store(&storedConfig{tableVersion: g.configs.Version(), version: version})
 			g.confirmConfig(version, g.configs.ConfirmedAt())
+			g.recordUnusable(ctx, version == 0)
 		},
 		OnUnavailable: func(err error) {
 			g.state.configLostAt.Store(time.Now().UnixNano())
@@ -78,6 +82,7 @@
 	g.origins.SetConfig(c)
 	if g.state.setConfig(c) {
 		g.freshness.SetInForce(c.Version)
+		g.keepConfig(c.Version, row)
 		klog.InfoS("gateway: configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "organisations", c.Organisations.Len())
 	}
 	return c.Version
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/springweir/springweir/internal/loop"
 	"github.com/springweir/springweir/internal/network"
 	"github.com/springweir/springweir/internal/port"
+	"github.com/springweir/springweir/lastconfig"
 	"github.com/springweir/springweir/lease"
 	"github.com/springweir/springweir/loadshare"
 	"github.com/springweir/springweir/memory"
@@ -186,6 +187,9 @@
 	peerAddresses atomic.Pointer[map[string]string]
 	// configs, endpoints, vms and verdicts are the sources of the tables that this VM follows.
 	configs, endpoints, vms, verdicts *feedshare.Source
+	// lastConfig keeps the configuration in force in the store; inForce is the one to keep, nil before the first.
+	lastConfig *lastconfig.Keeper
+	inForce    atomic.Pointer[lastconfig.Copy]
 	// stored is the configuration last received from the store; nil before the first.
 	stored atomic.Pointer[storedConfig]
 }
@@ -224,6 +228,7 @@
 		g.usage = usage.NewLedger(usage.Identity{VM: s.VM, Zone: s.Zone}, s.Duties.UsageWindow, wallClock, nil)
 	}
 	g.exchange = loadshare.New(g.exchangeConfig())
+	g.lastConfig = lastconfig.NewKeeper(p.Rows, g.exchange.Rank)
 	g.roles = rolechange.New(rolechange.Config{
 		VM: s.VM, Directory: g.directory, Services: g.state.config.Load,
 		Engines: p.Engines, Balance: s.Balance, Pressure: g.planner.Pressure, InFlight: g.planner.InFlight, PropagationDelay: g.exchange.PropagationDelay,
@@ -231,7 +236,7 @@
 	g.duties = duties.NewRunner(duties.Config{
 		Rows: p.Rows, Epoch: p.Epoch, HandoverDelay: s.Lease, Rank: g.exchange.Rank,
 		SingleProcess: true, // contends only once it has the callers' port
-		Self: lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
+		Self:          lease.Identity{VM: s.VM, Process: self.Boot, Address: s.Peers},
 	}, g.listDuties(wallClock)...)
 	g.newReach()
 	g.quota = quota.New(quota.Config{VM: s.VM, Limit: g.state.limitOf, Peers: quota.NewClient(n)})
@@ -327,6 +332,7 @@
 	}
 	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.followConfig(ctx) })
 	run(servingCtx, g.runConfirmer)
+	run(servingCtx, g.lastConfig.Run)
 	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.followEndpoints(ctx) })
 	run(servingCtx, g.closeStaleConnections)
 	run(servingCtx, clock.Watch)
--- a/gateway/identify.go
+++ b/gateway/identify.go
@@ -28,6 +28,9 @@
 		return nil, nil
 	}
 	if !s.acceptsKeys() {
+		if s.knowsUnusable() {
+			return nil, newRefusal(failure.ConfigMalformed, "the newest configuration cannot be decoded and may have taken keys away")
+		}
 		return nil, newRefusal(failure.ConfigUnconfirmed, "this VM cannot tell whether keys were taken away")
 	}
 	caller, err := config.Organisations.Identify(c)
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -41,7 +41,8 @@
 		return causeConfig
 	case !s.endpointsListed.Load():
 		return causeEndpoints
-	case config.Organisations != nil && !s.acceptsKeys():
+	case config.Organisations != nil && !s.acceptsKeys() && !s.knowsUnusable():
+		// While no VM can accept keys, all serve what needs none.
 		return causeKeys
 	}
 	return ""
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -15,6 +15,8 @@
 	//
 	// Invariant: its version never decreases while the process runs.
 	config atomic.Pointer[routes.Config]
+	// configUnusable is set while the operators' row is missing or malformed as a whole.
+	configUnusable atomic.Bool
 	// endpointsListed is set once the endpoints were read.
 	endpointsListed atomic.Bool
 	// callersRefused is set while the callers' port is closed because its listener failed.
@@ -58,6 +60,9 @@
 	return s.configLostAt.Load() != 0
 }
 
+// knowsUnusable reports whether the newest configuration is known to be unusable, by any VM.
+func (s *state) knowsUnusable() bool { return s.configUnusable.Load() && s.configLostAt.Load() == 0 }
+
 // version returns the version of the configuration in force, or zero.
 func (s *state) version() uint64 {
 	if c := s.config.Load(); c != nil {
