soak: service comes back after all gateways were killed at once

No test and no soak killed all VMs and asked when service is back, but for take-ups of streams. TestSoakRecovery kills all gateways twice a run, beside one to three of: metrics ports taken, malformed or no configuration, a store that fails or loses its history, replaced endpoints, changes of the configuration; returns at once or staggered, with further kills, stops and hang-ups.

--- a/soak.mk
+++ b/soak.mk
@@ -1,5 +1,5 @@
 # Soak tests under faults; included by the root Makefile.
-.PHONY: soak soak-config soak-drills soak-parts soak-provoked soak-versions
+.PHONY: soak soak-recovery soak-config soak-drills soak-parts soak-provoked soak-versions
 SEEDS ?= 1-50
 
 soak: ## run real gateways under faults for the seeds A-B, about 20 s each
@@ -19,3 +19,6 @@
 
 soak-versions: ## play software versions side by side for the seeds A-B; OLDER: the gateway of an older build
 	SPRINGWEIR_SOAK_VERSIONS=$(SEEDS) SPRINGWEIR_SOAK_OLDER=$(OLDER) go test ./platform/soak -run TestSoakVersions -count=1 -v -timeout 3h
+
+soak-recovery: ## kill all gateways at once, beside what may keep a start from serving, for the seeds A-B; VMS: the number of gateways
+	SPRINGWEIR_SOAK_RECOVERY=$(SEEDS) SPRINGWEIR_SOAK_VMS=$(VMS) go test ./platform/soak -run TestSoakRecovery -count=1 -v -timeout 2h
