scaling: a lost service keeps the endpoints that are starting

Cause: ordinary endpoints that have not registered yet were not counted, so that revocable ones which are only starting replaced them. With zones that accept such orders and reclaim before they serve, nothing ever serves.

Change: ordinary endpoints that are starting count, and stay wanted while less than half of the base serves.

--- a/duties/scaling/plan.go
+++ b/duties/scaling/plan.go
@@ -16,8 +16,8 @@
 // Zone holds the endpoints of a service in one availability zone.
 type Zone struct {
 	Count
-	// Starting counts revocable endpoints that were ordered and may still be starting.
-	Starting int
+	// Starting counts revocable endpoints that were ordered and may still be starting, and StartingOrdinary ordinary ones.
+	Starting, StartingOrdinary int
 	// Unavailable reports that the platform has recently refused to start revocable endpoints.
 	Unavailable bool
 }
@@ -31,13 +31,16 @@
 	// ZoneLossReserve is the fraction of the base that must remain when all revocable endpoints of
 	// any one zone are reclaimed.
 	ZoneLossReserve float64
+	// LostFraction is the fraction of the base below which the service counts as lost: ordinary endpoints that are starting
+	// are not cancelled then for revocable ones that are starting too, and may be reclaimed before they serve.
+	LostFraction float64
 	// ScaleInDelay is how long ordinary endpoints must be surplus before they are removed.
 	ScaleInDelay time.Duration
 }
 
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
-	return Settings{OrdinaryFloor: 0.1, RevocableTarget: 2, ZoneLossReserve: 1, ScaleInDelay: 2 * time.Second}
+	return Settings{OrdinaryFloor: 0.1, RevocableTarget: 2, ZoneLossReserve: 1, LostFraction: 0.5, ScaleInDelay: 2 * time.Second}
 }
 
 // Planner computes how many endpoints a service should have in each zone: as many revocable
@@ -85,10 +88,12 @@
 // in place of revocable ones that are still starting. By demand, none are added in place of revocable
 // ones that are about to be ordered, unless the platform has refused these.
 func (p *Planner) ordinaryTarget(now time.Time, scale *routes.Scale, current map[string]Zone, target map[string]Count, r requirement) int {
-	total := 0
+	total, starting, all := 0, 0, 0
 	serving, expected := map[string]int{}, map[string]int{}
 	for zone, counts := range current {
 		total += counts.Ordinary
+		starting += counts.StartingOrdinary
+		all += counts.Ordinary + counts.Revocable
 		serving[zone] = counts.Revocable
 		expected[zone] = counts.Revocable + counts.Starting
 		if r.byDemand && !counts.Unavailable {
@@ -98,7 +103,11 @@
 	required := r.ordinary(scale, serving)
 	if total <= required {
 		p.surplusSince = time.Time{}
-		return max(total, r.ordinary(scale, expected))
+		wanted := max(total, r.ordinary(scale, expected))
+		if all < p.ofBase(p.settings.LostFraction) {
+			wanted = max(wanted, min(total+starting, required))
+		}
+		return wanted
 	}
 	if p.surplusSince.IsZero() {
 		p.surplusSince = now
--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -243,6 +243,9 @@
 		if state != nil && s.starting(service, state) {
 			zoneCounts.Starting = max(0, state.ordered-zoneCounts.Revocable)
 		}
+		if ordinary := s.orders[zoneKey{service.Name, zone, false}]; ordinary != nil && s.starting(service, ordinary) {
+			zoneCounts.StartingOrdinary = max(0, ordinary.ordered-zoneCounts.Ordinary)
+		}
 		zoneCounts.Unavailable = state != nil && s.cfg.Now().Sub(state.refusedAt) < refusalMemory
 		counts[zone] = zoneCounts
 	}
--- a/duties/scaling/scaling_test.go
+++ b/duties/scaling/scaling_test.go
@@ -371,6 +371,38 @@
 	})
 }
 
+// Guards against a lost service for which endpoints are ordered and cancelled in turns: ordinary ones were cancelled before
+// they served once revocable ones could be ordered, which may be reclaimed before they serve.
+func TestStartingEndpointsOfALostServiceAreNotCancelled(t *testing.T) {
+	zones := []string{"z0", "z1", "z2"}
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newPlatform(t), memtable.New()
+		simulate(t, p, rows, 30, func(int) {}, func(time.Duration, int) {})
+		var lost time.Duration
+		simulate(t, p, rows, 40, func(second int) {
+			for _, zone := range zones {
+				switch {
+				case second == 0:
+					p.reclaim(zone)
+					p.lose(zone)
+				case second > 20:
+				case second%4 == 1:
+					p.restock(zone)
+				case second%4 == 3: // what was ordered meanwhile is reclaimed before it serves
+					p.reclaim(zone)
+				}
+			}
+		}, func(_ time.Duration, n int) {
+			if n < testBase/2 {
+				lost += 100 * time.Millisecond
+			}
+		})
+		if limit := emptyZoneDelay + testBoot + 3*time.Second; lost > limit {
+			t.Errorf("less than half of the base served for %v, want at most %v", lost, limit)
+		}
+	})
+}
+
 // Whatever zones and store do, fencing tokens of orders never decrease, the zones' maxima hold, and
 // the counts stabilise once faults end.
 func TestCountsConverge(t *testing.T) {
