relay: an answer that ends with its connection does so at the caller too

Cause: the relay took the end of the connection for the end of the answer, which the endpoint had not said, and said so itself.

Change: such an answer gets neither a length nor chunks on its way to the caller (h1.Response.UntilClose, kept between two VMs by a header), and the connection to the caller ends with it. If it is known to be incomplete, or breaks off for a caller of HTTP/1.0, that connection is reset; it ended well before.

The issue's case, a head that is cut, does not happen here: cut at any byte, by FIN or reset, on new and used connections and between two VMs, it is no response (TestHeadsCutAtAnyByte, TestHeadsCutAtAnyByteAreNoResponse passed before).

Tests: TestAnswersThatEndWithTheirConnectionAreNotFramed and TestBrokenAnswersThatEndWithTheirConnectionAreReset (HTTP/1.0) failed before; TestResponsesThatEndWithTheirConnectionAreMarked.

--- a/caller/wire/wire.go
+++ b/caller/wire/wire.go
@@ -29,6 +29,8 @@
 	// to, and its incarnation.
 	HeaderEndpoint    = "Springweir-Endpoint"
 	HeaderIncarnation = "Springweir-Incarnation"
+	// HeaderUntilClose marks a response whose body ended with the connection to the endpoint.
+	HeaderUntilClose = "Springweir-Until-Close"
 	// HeaderConnect marks a request that asks the receiving VM only to open a connection to the
 	// endpoint.
 	HeaderConnect = "Springweir-Connect"
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -89,13 +89,13 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
-	writer := newResponseWriter(w, h.stall)
+	writer := newResponseWriter(w, r, h.stall)
 	result := h.relay.Serve(r.Context(), req, writer)
 	writer.close()
 	if ranOf(result.Failure) == failure.NotRun {
 		reservation.Refund()
 	}
-	h.finish(w, r, req, result)
+	h.finish(writer, r, req, result)
 }
 
 // reserveQuota takes the cost of a request from the limit of its organisation, if there is one.
@@ -154,7 +154,7 @@
 }
 
 // finish records how a request ended, and responds with its failure if no response head was sent.
-func (h *handler) finish(w http.ResponseWriter, r *http.Request, req *relay.Request, result relay.Result) {
+func (h *handler) finish(w *responseWriter, r *http.Request, req *relay.Request, result relay.Result) {
 	recordRequest(req, result)
 	klog.InfoS("gateway: request ended", "request", req.ID, "route", req.Route.Name, "config", h.state.version(),
 		"status", result.Status, "begun", result.HeadSent, "endpoint", result.Endpoint, "attempts", result.Attempts,
@@ -164,9 +164,9 @@
 	case result.Failure == nil:
 	case result.HeadSent:
 		// A broken connection is the only way to signal an incomplete response.
-		panic(http.ErrAbortHandler)
+		w.breakOff(r)
 	default:
-		h.refuse(w, r, req.ID, result.Failure)
+		h.refuse(w.w, r, req.ID, result.Failure)
 	}
 }
 
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -17,13 +17,17 @@
 	w        http.ResponseWriter
 	control  *http.ResponseController
 	deadline stallDeadline
+	// chunks reports whether the caller takes responses in chunks, as those of HTTP/1.1 do.
+	chunks bool
+	// untilClose is set if the body ends with the connection to the caller.
+	untilClose bool
 }
 
 var _ relay.ResponseWriter = (*responseWriter)(nil)
 
-func newResponseWriter(w http.ResponseWriter, stall time.Duration) *responseWriter {
+func newResponseWriter(w http.ResponseWriter, r *http.Request, stall time.Duration) *responseWriter {
 	control := http.NewResponseController(w)
-	return &responseWriter{w: w, control: control, deadline: stallDeadline{stall: stall, set: control.SetWriteDeadline}}
+	return &responseWriter{w: w, control: control, deadline: stallDeadline{stall: stall, set: control.SetWriteDeadline}, chunks: r.ProtoAtLeast(1, 1)}
 }
 
 // WriteHead implements relay.ResponseWriter.
@@ -37,8 +41,13 @@
 			dst[added] = nil // otherwise net/http adds its default value
 		}
 	}
-	if length >= 0 {
+	p.untilClose = length < 0 && !p.chunks
+	switch {
+	case length >= 0:
 		dst["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	case length == relay.UntilClose:
+		dst["Transfer-Encoding"] = []string{"identity"} // makes net/http send no chunks, and close the connection
+		p.untilClose = true
 	}
 	p.w.WriteHeader(status)
 	return nil
@@ -61,3 +70,11 @@
 
 // close removes the deadline of the writes.
 func (p *responseWriter) close() { p.deadline.remove() }
+
+// breakOff ends an incomplete response. Where the end of the connection would end it well, the connection is reset.
+func (p *responseWriter) breakOff(r *http.Request) {
+	if p.untilClose {
+		resetAtClose(r.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"time"
@@ -47,14 +48,28 @@
 // boundUnread makes the kernel close a caller's connection once the caller has accepted nothing of what it was sent for
 // the time of a stall. A response that fits into the kernel's buffer would otherwise stay there until the connection is
 // idle for too long, or for ever while there are further requests.
-func boundUnread(c net.Conn, stall time.Duration) {
+func boundUnread(c net.Conn, stall time.Duration) { h1.SetUserTimeout(socketOf(c), stall) }
+
+// socketOf returns the socket of a caller's connection.
+func socketOf(c net.Conn) net.Conn {
 	if head, ok := c.(*headConn); ok {
 		c = head.Conn
 	}
 	if counted, ok := c.(*intakeConn); ok {
 		c = counted.Conn
 	}
-	h1.SetUserTimeout(c, stall)
+	return c
+}
+
+// resetAtClose makes the connection of a request end with a reset.
+func resetAtClose(ctx context.Context) {
+	c, ok := ctx.Value(headConnKey{}).(*headConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := socketOf(c).(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // on failure the connection is closed without a reset
+	}
 }
 
 // stallReader reads a request's body. A read fails if nothing arrives for the time of a stall.
--- a/hop/client.go
+++ b/hop/client.go
@@ -132,6 +132,7 @@
 		defer response.Close()
 		return nil, readError(vm, response)
 	}
+	response.UntilClose = response.Header.Get(wire.HeaderUntilClose) != ""
 	removeOwnHeaders(response.Header)
 	removeConnectionHeaders(response.Header)
 	return response, nil
--- a/hop/response.go
+++ b/hop/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/springweir/springweir/caller/wire"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/h1"
 )
@@ -42,6 +43,9 @@
 			to[added] = nil // otherwise net/http adds its own value
 		}
 	}
+	if response.UntilClose {
+		to.Set(wire.HeaderUntilClose, "1")
+	}
 	w.WriteHeader(response.Status)
 }
 
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -221,7 +221,8 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		body: resp.Body, closing: resp.Close, ex: ex,
+		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
+		body:       resp.Body, closing: resp.Close, ex: ex,
 	}, nil
 }
 
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -11,6 +11,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known in advance.
 	Length int64
+	// UntilClose is set if the body has neither a length nor chunks, and ends with its connection: nothing tells whether it
+	// is complete.
+	UntilClose bool
 
 	body    io.Reader
 	ended   bool
--- a/relay/request.go
+++ b/relay/request.go
@@ -116,13 +116,17 @@
 	Tokens int
 }
 
+// UntilClose is the length of a body that ends with its connection. The endpoint has not said that it is complete, and no
+// length or last chunk may say so to the caller.
+const UntilClose = -2
+
 // Response is an endpoint's response whose head was read. Read returns io.EOF only at the end of a
 // complete body. Close discards the unread rest and must be called exactly once.
 type Response interface {
 	Status() int
 	// Header returns the fields to forward to the caller.
 	Header() http.Header
-	// Length returns the length of the body, or -1 if it is unknown.
+	// Length returns the length of the body, or -1 if it is unknown, or UntilClose.
 	Length() int64
 	Read(p []byte) (int, error)
 	Close()
@@ -143,7 +147,7 @@
 // ResponseWriter writes a response to the caller. Its methods return an error once the caller has
 // disconnected.
 type ResponseWriter interface {
-	// WriteHead sends the head. Length is the length of the body, or -1 if it is unknown.
+	// WriteHead sends the head. Length is the length of the body, or -1 if it is unknown, or UntilClose.
 	WriteHead(status int, header http.Header, length int64) error
 	// Write sends a chunk of the body immediately.
 	Write(p []byte) error
