--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -301,63 +301,93 @@
 	klog.InfoS("gateway: settings reloaded", "retry", s.Retry, "restartNeeded", old != s)
 }
 
-// Run serves until ctx ends, then stops without interrupting responses.
+// servers are the HTTP servers of a gateway.
+type servers struct{ callers, readiness, peers, metrics *http.Server }
+
+func (g *Gateway) newServers() *servers {
+	return &servers{
+		callers: g.callerServer(), readiness: newServer(http.HandlerFunc(g.serveReadiness)),
+		peers: newServer(g.peerHandler()), metrics: newServer(http.HandlerFunc(g.serveMetrics)),
+	}
+}
+
+func (s *servers) close() {
+	for _, server := range []*http.Server{s.callers, s.readiness, s.peers, s.metrics} {
+		_ = server.Close()
+	}
+}
+
+// Run serves until ctx ends, then stops without interrupting responses. A part that fails is tried again and does not end
+// the others.
 func (g *Gateway) Run(ctx context.Context) error {
 	servingCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	leadingCtx, stopLeading := context.WithCancel(servingCtx)
 	defer stopLeading()
-	var group errgroup.Group
-	callerServer := g.callerServer()
-	readinessServer := newServer(http.HandlerFunc(g.serveReadiness))
-	peerServer := newServer(g.peerHandler())
-	metricsServer := newServer(http.HandlerFunc(g.serveMetrics))
 	klog.InfoS("gateway: starting", "settings", g.settings)
 	if unknown := g.settings.Duties.Unknown; unknown != "" {
 		klog.ErrorS(nil, "gateway: duties are not known, nobody will do them", "duties", unknown)
 	}
+	s := g.newServers()
 	// Listen for callers before the readiness check can succeed: otherwise a VM that receives its
 	// configuration at once would be ready while it refuses connections.
-	callers := g.callerPort(callerServer)
+	callers := g.callerPort(s.callers)
 	listener := callers.Open(ctx)
 	if listener == nil {
 		return nil
 	}
-	run := func(ctx context.Context, f func(context.Context)) { group.Go(func() error { f(ctx); return nil }) }
-	run(servingCtx, func(ctx context.Context) { callers.Serve(ctx, listener) })
-	run(servingCtx, func(ctx context.Context) { g.port("readiness", readinessServer, g.settings.Readiness).Serve(ctx, nil) })
-	run(servingCtx, func(ctx context.Context) { g.port("peers", peerServer, g.settings.Peers).Serve(ctx, nil) })
-	if g.settings.Metrics != "" {
-		run(servingCtx, func(ctx context.Context) { g.port("metrics", metricsServer, g.settings.Metrics).Serve(ctx, nil) })
+	var group errgroup.Group
+	run := func(ctx context.Context, part func(context.Context)) {
+		group.Go(func() error { part(ctx); return nil })
 	}
-	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.followConfig(ctx) })
-	run(servingCtx, g.runConfirmer)
-	run(servingCtx, g.lastConfig.Run)
-	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.followEndpoints(ctx) })
-	run(servingCtx, g.closeStaleConnections)
-	run(servingCtx, clock.Watch)
-	run(servingCtx, g.watchReadiness)
-	run(servingCtx, g.roster.Run)
-	run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.guard.Run(ctx) })
-	run(leadingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.duties.Run(ctx) })
-	if g.scaler != nil {
-		run(servingCtx, func(ctx context.Context) { g.awaitPeers(ctx); g.scaler.Watch(ctx) })
+	run(servingCtx, func(ctx context.Context) { callers.Serve(ctx, listener) })
+	for _, part := range append(g.ports(s), g.parts()...) {
+		run(servingCtx, part)
 	}
-	run(servingCtx, g.updateMembership)
-	run(servingCtx, g.origins.Run)
-	run(servingCtx, g.reach.Run)
-	run(servingCtx, g.runExchange)
+	run(leadingCtx, g.afterPeers(g.duties.Run))
 	<-ctx.Done()
 	stopLeading() // another VM takes over the lease while the open requests complete
-	g.stop(callerServer, peerServer)
+	g.stop(s.callers, s.peers)
 	stopServing()
-	_ = callerServer.Close()
-	_ = readinessServer.Close()
-	_ = peerServer.Close()
-	_ = metricsServer.Close()
+	s.close()
 	return waitFor(&group, exitTimeout)
 }
 
+// ports returns what serves the ports other than the callers'.
+func (g *Gateway) ports(s *servers) []func(context.Context) {
+	serve := func(name string, server *http.Server, address string) func(context.Context) {
+		return func(ctx context.Context) { g.port(name, server, address).Serve(ctx, nil) }
+	}
+	list := []func(context.Context){
+		serve("readiness", s.readiness, g.settings.Readiness), serve("peers", s.peers, g.settings.Peers), g.runExchange,
+	}
+	if g.settings.Metrics != "" {
+		list = append(list, serve("metrics", s.metrics, g.settings.Metrics))
+	}
+	return list
+}
+
+// parts returns what runs in the background until the VM has stopped.
+func (g *Gateway) parts() []func(context.Context) {
+	list := []func(context.Context){
+		g.afterPeers(g.followConfig), g.afterPeers(g.followEndpoints), g.afterPeers(g.guard.Run),
+		g.runConfirmer, g.lastConfig.Run, g.closeStaleConnections, clock.Watch, g.watchReadiness, g.roster.Run,
+		g.updateMembership, g.origins.Run, g.reach.Run,
+	}
+	if g.scaler != nil {
+		list = append(list, g.afterPeers(g.scaler.Watch))
+	}
+	return list
+}
+
+// afterPeers returns a part that starts once the other VMs are known, or after a while without them.
+func (g *Gateway) afterPeers(part func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		g.awaitPeers(ctx)
+		part(ctx)
+	}
+}
+
 // exitTimeout is how long the process waits for its goroutines at exit. A call to an unavailable
 // store must not extend the process beyond its grace period.
 const exitTimeout = 300 * time.Millisecond
