--- a/lastconfig/lastconfig.go
+++ b/lastconfig/lastconfig.go
@@ -40,8 +40,10 @@
 )
 
 const (
-	// settleTime is how long a configuration is in force before it is kept: several may come in quick succession, and a VM
-	// that has just started does not know its rank yet.
+	// startDelay is how long a VM that has just started keeps nothing: it does not know its rank yet, and what was in force
+	// before is usually kept already.
+	startDelay = 3 * time.Second
+	// settleTime is how long a configuration is in force before it is kept, as several may come in quick succession.
 	settleTime = 500 * time.Millisecond
 	// rankDelay is the further time that the VM of the next rank waits, and maxRank the last rank that keeps copies.
 	rankDelay = time.Second
@@ -115,13 +117,14 @@
 
 // Run keeps configurations until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	loop.Sleep(ctx, startDelay)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-k.wake:
 		}
-		if loop.Sleep(ctx, settleTime+time.Duration(min(k.rank(), maxRank))*rankDelay) {
+		if loop.Sleep(ctx, settleTime) && loop.Sleep(ctx, time.Duration(min(k.rank(), maxRank))*rankDelay) {
 			k.keepPending(ctx)
 		}
 	}
--- a/lastconfig/lastconfig_test.go
+++ b/lastconfig/lastconfig_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +38,7 @@
 		running.Go(func() { k.Run(ctx) })
 		list = append(list, k)
 	}
+	time.Sleep(startDelay)
 	return list
 }
 
@@ -108,6 +110,34 @@
 	}
 }
 
+// Guards against a call to the store of each VM when all start: they do not know their ranks yet.
+func TestStartingVMsKeepNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := memtable.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var known atomic.Bool
+		for vm := range 40 {
+			k := NewKeeper(rows, func() int {
+				if known.Load() {
+					return vm
+				}
+				return 0
+			})
+			k.Set(Copy{Version: 3, Value: noise(100)})
+			running.Go(func() { k.Run(ctx) })
+		}
+		time.Sleep(startDelay - time.Millisecond)
+		known.Store(true)
+		time.Sleep(time.Minute)
+		if counts := rows.Counts(); counts.Commits != 1 || counts.Gets > maxRank+1 {
+			t.Errorf("%+v calls", counts)
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
 // An unavailable store is tried again; an older configuration does not replace a newer one.
 func TestKeepingIsTriedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
