lease, loadshare: contenders move up when those before them are lost

What callers would see: the VMs with the first ranks are lost for good (one of each zone, or four in all), and the rest restarts. Their rows count for half an hour, so that nobody contends actively: no endpoints are ordered and no usage is reported until a distant contender has read the row of the lease twice, up to 36 s apart.

Cause: ranks counted every registered VM, whether heard of or not; and a contender looked at its rank only when its next read was due. Class: what is registered was taken for what is there.

Change: ranks leave out VMs that are not heard of for MemberTimeout, unless no other VM is heard at all; for the first 2 s after a start they are as before. A distant contender decides every poll, and reads one in 16 times.

--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -48,9 +48,6 @@
 	return ""
 }
 
-// ready reports whether callers may be sent to this VM.
-func (s *state) ready() bool { return s.unreadyCause() == "" }
-
 // readinessInterval is the time between two checks of the readiness for logs and metrics.
 const readinessInterval = 200 * time.Millisecond
 
--- a/lease/config.go
+++ b/lease/config.go
@@ -1,10 +1,6 @@
 package lease
 
-import (
-	"time"
-
-	"github.com/springweir/springweir/internal/loop"
-)
+import "time"
 
 // Defaults for Config.
 const (
@@ -69,8 +65,6 @@
 	return c.Rank()
 }
 
-func (c Config) pollDelay() time.Duration { return loop.Jitter(pollInterval(c.Poll, c.rank())) }
-
 // succeeds reports whether a holder is an earlier process of this VM, which has ended.
 func (c Config) succeeds(holder Identity) bool {
 	return c.SingleProcess && holder.VM == c.Identity.VM && holder.Process != c.Identity.Process
--- a/lease/contend.go
+++ b/lease/contend.go
@@ -79,11 +79,3 @@
 // epochFence returns the lower bound of an epoch's fencing tokens: it is above all tokens of
 // earlier epochs, including those that the table service lost in a restore.
 func epochFence(epoch uint64) uint64 { return epoch << fenceCounterBits }
-
-// pollInterval returns the mean time between a contender's reads.
-func pollInterval(poll time.Duration, rank int) time.Duration {
-	if rank < activeContenders {
-		return poll
-	}
-	return poll * distantPollFactor
-}
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -12,7 +12,7 @@
 // package order has a predecessor confirm that it has dropped its authority.
 //
 // Load on the table service for each lease: one write every Config.Renew, and one read every
-// Config.Poll by each of the first activeContenders contenders; the others read every
-// distantPollFactor*Config.Poll. With the defaults and 63 contenders in a zone that is 0.33
+// Config.Poll by each of the first activeContenders contenders; the others read one in
+// distantPollFactor times. With the defaults and 63 contenders in a zone that is 0.33
 // writes and 2.5 reads a second, with 8 contenders 0.33 and 1.1 (TestTableLoad).
 package lease
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	mrand "math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -61,8 +62,9 @@
 	var obs observation
 	wait := loop.Jitter(h.cfg.Poll) / 2
 	for first := true; loop.Sleep(ctx, wait); first = false {
-		wait = h.cfg.pollDelay()
-		if !h.cfg.eligible() || first && h.cfg.rank() >= activeContenders {
+		wait = loop.Jitter(h.cfg.Poll)
+		distant := h.cfg.rank() >= activeContenders
+		if !h.cfg.eligible() || distant && (first || mrand.IntN(distantPollFactor) != 0) {
 			continue
 		}
 		l, next, err := h.attempt(ctx, &obs)
@@ -73,7 +75,7 @@
 			countRetry(err)
 			continue
 		}
-		if h.cfg.rank() < activeContenders {
+		if !distant {
 			wait = min(wait, next)
 		}
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -46,6 +46,11 @@
 }
 
 func start(t *testing.T, svc table.Service, name string, rank int) *contender {
+	t.Helper()
+	return startRanked(t, svc, name, func() int { return rank })
+}
+
+func startRanked(t *testing.T, svc table.Service, name string, rank func() int) *contender {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	c := &contender{stop: stop, done: make(chan struct{})}
@@ -53,7 +58,7 @@
 		Pool:     "chat",
 		Zone:     "a",
 		Identity: Identity{VM: name, Process: name, Address: name},
-		Rank:     func() int { return rank },
+		Rank:     rank,
 	})
 	go func() {
 		defer close(c.done)
@@ -131,6 +136,31 @@
 	}
 }
 
+// Guards against a lease that nobody takes for a minute and more: a contender that moves up, since those before it are lost,
+// looked at the row only when its next read as a distant contender was due.
+func TestContenderThatMovesUpTakesTheLease(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			svc := memtable.New()
+			first := start(t, svc, "a", 0)
+			waitUntil(t, "the first tenure", first.holds)
+			time.Sleep(time.Minute)
+			first.Kill()
+			startedAt := time.Now()
+			next := startRanked(t, svc, "b", func() int {
+				if time.Since(startedAt) < 2*time.Second {
+					return activeContenders + 3
+				}
+				return 0
+			})
+			took := waitUntil(t, "the next tenure", next.holds)
+			if limit := 2*time.Second + 3*DefaultPoll + DefaultTTL; took > limit {
+				t.Errorf("took %v, want at most %v", took, limit)
+			}
+		})
+	}
+}
+
 func TestTakeoverWait(t *testing.T) {
 	now := time.Now()
 	row := table.Row{Version: 4}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -194,13 +194,13 @@
 	return x.region.peersOutsideZone(clock.Now(), n)
 }
 
-// Rank returns this VM's position among all VMs of the region. The first VM of each zone by
-// capacity comes first, then the second of each, so that the loss of a zone leaves some of the
+// Rank returns this VM's position among the VMs of the region, without those that are not heard of any more. The first VM of
+// each zone by capacity comes first, then the second of each, so that the loss of a zone leaves some of the
 // first positions filled.
 func (x *Exchange) Rank() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.region.rank()
+	return x.region.rank(clock.Now())
 }
 
 // IsCollector reports whether this VM is the collector of its zone.
--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -63,6 +63,9 @@
 	// zone and of the region, determined at unresponsiveAt.
 	unresponsiveInZone, unresponsiveAll []uint32
 	unresponsiveAt                      time.Time
+	// lastRank is the rank determined at rankedAt among rankedPeers others, and rankedSince when one was first asked for.
+	lastRank, rankedPeers int
+	rankedAt, rankedSince time.Time
 }
 
 func newRegion(self Peer) region {
@@ -192,11 +195,49 @@
 	return list[:min(n, len(list))]
 }
 
-// rank returns this VM's position among all VMs: by the position within the zone, then by zone.
-func (r *region) rank() int {
-	position := slices.IndexFunc(r.zones[r.self.Zone], func(p Peer) bool { return p.Name == r.self.Name })
-	rank := 0
+// rankRefresh is how often the rank is determined.
+const rankRefresh = 200 * time.Millisecond
+
+// rank returns this VM's position among the VMs: by the position within the zone, then by zone. VMs that have not been heard
+// of for MemberTimeout are left out, unless no other VM is heard at all.
+func (r *region) rank(now time.Time) int {
+	if r.rankedAt.IsZero() {
+		r.rankedSince = now
+	}
+	if r.rankedAt.IsZero() || now.Sub(r.rankedAt) >= rankRefresh || r.rankedPeers != len(r.peers) {
+		r.lastRank, r.rankedAt, r.rankedPeers = r.rankAmong(r.ranked(now)), now, len(r.peers)
+	}
+	return r.lastRank
+}
+
+// ranked returns the VMs that have a rank, by zone and in collector order.
+func (r *region) ranked(now time.Time) map[string][]Peer {
+	if now.Sub(r.rankedSince) < MemberTimeout || r.allReportedResponsive(now) {
+		return r.zones
+	}
+	unresponsive := r.unresponsiveFunc(now)
+	zones, others := map[string][]Peer{}, 0
 	for zone, list := range r.zones {
+		for _, p := range list {
+			if p.Name == r.self.Name {
+				zones[zone] = append(zones[zone], p)
+			} else if !unresponsive(p) {
+				zones[zone] = append(zones[zone], p)
+				others++
+			}
+		}
+	}
+	if others == 0 {
+		return r.zones
+	}
+	return zones
+}
+
+// rankAmong returns this VM's position among VMs in collector order.
+func (r *region) rankAmong(zones map[string][]Peer) int {
+	position := slices.IndexFunc(zones[r.self.Zone], func(p Peer) bool { return p.Name == r.self.Name })
+	rank := 0
+	for zone, list := range zones {
 		rank += min(len(list), position)
 		if zone < r.self.Zone && len(list) > position {
 			rank++
--- a/loadshare/scale_test.go
+++ b/loadshare/scale_test.go
@@ -22,7 +22,7 @@
 		b.Run(fmt.Sprint(size, "/preceding"), func(b *testing.B) {
 			for b.Loop() {
 				r.precedingPeers(now, 2)
-				r.rank()
+				r.rank(time.Now())
 			}
 		})
 		b.Run(fmt.Sprint(size, "/outside"), func(b *testing.B) {
