gateway: record how the end of a response shows to the caller

The record of the incident cannot tell a VM that ends from an endpoint that ends: no line names the responses that a killed process had open, nor how they were framed.

Now a response that only the end of its connection ends has a line when it begins, 'request ended' tells the framing at the caller and whether the endpoint framed its answer, and springweir_responses_begun_total counts responses by framing. No behaviour changes. Responses with a length or chunks get no further line.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -89,7 +89,7 @@
 		h.reject(w, r, call.ID, failed)
 		return
 	}
-	writer := newResponseWriter(w, r, h.stall)
+	writer := newResponseWriter(w, r, req.ID, h.stall)
 	result := h.relay.Serve(r.Context(), req, writer)
 	writer.close()
 	if ranOf(result.Failure) == failure.NotRun {
@@ -157,7 +157,7 @@
 func (h *handler) finish(w *responseWriter, r *http.Request, req *relay.Request, result relay.Result) {
 	recordRequest(req, result)
 	klog.InfoS("gateway: request ended", "request", req.ID, "route", req.Route.Name, "config", h.state.version(),
-		"status", result.Status, "begun", result.HeadSent, "endpoint", result.Endpoint, "attempts", result.Attempts,
+		"status", result.Status, "begun", result.HeadSent, "framing", w.framing, "endpointUnframed", result.Unframed, "endpoint", result.Endpoint, "attempts", result.Attempts,
 		"events", result.Events, "firstMS", result.TimeToHead.Milliseconds(), "pauseMS", result.MaxEventGap.Milliseconds(), "tookMS", clock.Since(req.Received).Milliseconds(),
 		"failure", codeOf(result.Failure), "cause", causeOf(result.Failure), "ran", ranOf(result.Failure))
 	switch {
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
 	"github.com/springweir/springweir/relay"
 )
 
@@ -14,20 +18,36 @@
 
 // responseWriter writes a response to the caller. It implements relay.ResponseWriter.
 type responseWriter struct {
+	// request is the ID of the request.
+	request  string
 	w        http.ResponseWriter
 	control  *http.ResponseController
 	deadline stallDeadline
 	// chunks reports whether the caller takes responses in chunks, as those of HTTP/1.1 do.
 	chunks bool
-	// untilClose is set if the body ends with the connection to the caller.
-	untilClose bool
+	// framing is how the end of the response shows, once its head was sent.
+	framing framing
 }
 
+// framing is how the end of a response shows to the caller.
+type framing string
+
+const (
+	noHead framing = ""
+	// byLength and byChunks show an end that comes too early.
+	byLength framing = "length"
+	byChunks framing = "chunks"
+	// byClose means that the body ends with the connection.
+	byClose framing = "close"
+)
+
 var _ relay.ResponseWriter = (*responseWriter)(nil)
 
-func newResponseWriter(w http.ResponseWriter, r *http.Request, stall time.Duration) *responseWriter {
+func newResponseWriter(w http.ResponseWriter, r *http.Request, id string, stall time.Duration) *responseWriter {
 	control := http.NewResponseController(w)
-	return &responseWriter{w: w, control: control, deadline: stallDeadline{stall: stall, set: control.SetWriteDeadline}, chunks: r.ProtoAtLeast(1, 1)}
+	return &responseWriter{
+		request: id, w: w, control: control, deadline: stallDeadline{stall: stall, set: control.SetWriteDeadline}, chunks: r.ProtoAtLeast(1, 1),
+	}
 }
 
 // WriteHead implements relay.ResponseWriter.
@@ -41,15 +61,20 @@
 			dst[added] = nil // otherwise net/http adds its default value
 		}
 	}
-	p.untilClose = length < 0 && !p.chunks
 	switch {
 	case length >= 0:
+		p.framing = byLength
 		dst["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	case length == relay.UntilClose:
+		p.framing = byClose
 		dst["Transfer-Encoding"] = []string{"identity"} // makes net/http send no chunks, and close the connection
-		p.untilClose = true
+	case p.chunks:
+		p.framing = byChunks
+	default:
+		p.framing = byClose
 	}
 	p.w.WriteHeader(status)
+	p.recordBegin()
 	return nil
 }
 
@@ -68,12 +93,21 @@
 	return p.control.Flush()
 }
 
+// recordBegin counts a response by its framing. One that ends with the connection is logged: if the process ends before
+// it, there is no other trace of it.
+func (p *responseWriter) recordBegin() {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_responses_begun_total{framing=%q}`, p.framing)).Inc()
+	if p.framing == byClose {
+		klog.InfoS("gateway: response begun that ends with its connection", "request", p.request)
+	}
+}
+
 // close removes the deadline of the writes.
 func (p *responseWriter) close() { p.deadline.remove() }
 
 // breakOff ends an incomplete response. Where the end of the connection would end it well, the connection is reset.
 func (p *responseWriter) breakOff(r *http.Request) {
-	if p.untilClose {
+	if p.framing == byClose {
 		resetAtClose(r.Context())
 	}
 	panic(http.ErrAbortHandler)
--- a/gateway/response_writer_test.go
+++ b/gateway/response_writer_test.go
@@ -21,7 +21,7 @@
 	results = make(chan error, 1)
 	chunk := make([]byte, writeChunk)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writer := newResponseWriter(w, r, stall)
+		writer := newResponseWriter(w, r, "id", stall)
 		defer writer.close()
 		err := writer.WriteHead(http.StatusOK, http.Header{}, int64(chunks*len(chunk)))
 		for i := 0; i < chunks && err == nil; i++ {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,6 +28,8 @@
 	HeadSent bool
 	// Status is the status of the response, if its head was sent.
 	Status int
+	// Unframed is set if the endpoint's response, whose head was sent, had neither a length nor chunks.
+	Unframed bool
 	// Endpoint is the ID of the last endpoint tried.
 	Endpoint string
 	// Attempts counts the attempts that may have reached an endpoint.
--- a/relay/response.go
+++ b/relay/response.go
@@ -187,6 +187,7 @@
 func (j *job) sendHead(response Response, length int64) *failure.Request {
 	if response.Length() == UntilClose {
 		length = UntilClose
+		j.result.Unframed = true
 	}
 	j.result.HeadSent, j.result.Status = true, response.Status()
 	j.result.TimeToHead = clock.Since(j.req.Received)
