h1: an answer without a frame is complete only if its endpoint outlives it

Cause: only the end of the connection ends such an answer, and the kernel ends the connections of a process that has ended in the same way. The end of the connection alone was taken for the end of the answer.

Change: at the end of such an answer the gateway asks whether the endpoint has ended: it connects to it, and if that is refused, asks other VMs, as for crashes (isDown). The connection is kept for the next request, which needs one anyway. If the endpoint has ended, the answer has broken off: resumable streams go on at another endpoint. An endpoint that drains, or has left, may refuse connections while its last answers end; these count as complete.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,6 +139,8 @@
 	// configuration and an error if only parts are malformed.
 	DecodeConfig   func(table.Row) (*routes.Config, error)
 	DecodeEndpoint func(table.Row) (directory.Registration, error)
+	// SetEnded sets the function that reports whether an endpoint has ended, without having announced it. It may be nil.
+	SetEnded func(func(*directory.Endpoint) bool)
 	// ObserveResponses sets the function called with each response of an endpoint. It may be nil.
 	ObserveResponses func(func(signals.Response))
 	// CloseStaleConnections closes connections to endpoints that are not in the snapshot or have
@@ -207,6 +209,9 @@
 	if p.ObserveResponses != nil {
 		p.ObserveResponses(g.signals.Observe)
 	}
+	if p.SetEnded != nil {
+		p.SetEnded(g.hasEnded)
+	}
 	limits := memory.LimitsOf(s.Memory)
 	g.requestMemory, g.headMemory = memory.NewBudget(limits.Requests, nil), memory.NewBudget(limits.Heads, nil)
 	g.responseMemory = memory.NewBudget(limits.Responses, nil)
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -87,6 +87,20 @@
 	return errors.Is(g.reach.ConnectObserved(ctx, e, refused), unix.ECONNREFUSED)
 }
 
+// endCheckTimeout bounds the check of whether an endpoint has ended.
+const endCheckTimeout = 200 * time.Millisecond
+
+// hasEnded reports whether an endpoint has ended without having announced it: one that drains may refuse connections
+// while its last responses end. If it has not, the connection that showed it is kept for the next request.
+func (g *Gateway) hasEnded(e *directory.Endpoint) bool {
+	if now := g.directory.Snapshot().Endpoint(e.ID); now == nil || !now.Usable() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	return g.isDown(ctx, e, func() {})
+}
+
 // responsiveVMs returns the other VMs that are responsive.
 func (g *Gateway) responsiveVMs() []reach.VM {
 	addresses := *g.peerAddresses.Load()
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -36,6 +36,9 @@
 	// Accept reports whether a response head belongs to this request. Up to maxStrayResponses
 	// others are discarded. Nil accepts any response.
 	Accept func(status int, h http.Header) bool
+	// ServerEnded, if not nil, reports whether the server has ended. It is called at the end of a response that only the end
+	// of its connection ends.
+	ServerEnded func() bool
 }
 
 // NewConnection as a Request's MaxIdle forces a new connection.
@@ -43,11 +46,12 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	pool      *Pool
-	conn      *conn
-	stop      func() bool
-	writeDone chan error
-	once      sync.Once
+	pool        *Pool
+	conn        *conn
+	stop        func() bool
+	writeDone   chan error
+	serverEnded func() bool
+	once        sync.Once
 }
 
 // pastDeadline is a deadline that fails all reads and writes immediately.
@@ -64,7 +68,7 @@
 		p.putUnused(c)
 		return nil, &Error{Reused: reused, Cause: err}
 	}
-	ex := &exchange{pool: p, conn: c}
+	ex := &exchange{pool: p, conn: c, serverEnded: r.ServerEnded}
 	ex.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	if err := ex.write(r); err != nil {
 		ex.abort()
@@ -219,10 +223,10 @@
 	if err = ex.conn.source.end(err); err != nil {
 		return nil, headError(err)
 	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
-		body:       resp.Body, closing: resp.Close, ex: ex,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: unframed,
+		body: resp.Body, unframed: unframed, closing: resp.Close, ex: ex,
 	}, nil
 }
 
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -11,21 +11,27 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known in advance.
 	Length int64
-	// UntilClose is set if the body has neither a length nor chunks, and ends with its connection: nothing tells whether it
-	// is complete.
+	// UntilClose is set if the body has neither a length nor chunks, and ends with its connection.
 	UntilClose bool
 
-	body    io.Reader
-	ended   bool
-	closing bool
-	ex      *exchange
+	body io.Reader
+	// unframed is UntilClose, for the response of this connection's server.
+	unframed bool
+	ended    bool
+	closing  bool
+	ex       *exchange
 }
 
-// Read implements io.Reader. It returns io.EOF only if the body is complete, and *LimitError if the
-// body has too much beside its data.
+// Read implements io.Reader. It returns io.EOF only if the body is complete, *ServerEndedError if the server ended with it, and
+// *LimitError if the body has too much beside its data.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err == io.EOF {
+		if r.unframed && !r.ended {
+			if ended := r.ex.checkServer(); ended != nil {
+				return n, ended
+			}
+		}
 		r.ended = true
 		return n, err
 	}
