gateway: responses show that their VM has ended

Cause: a response whose end only the end of its connection shows looks complete whenever the process ends first: the kernel ends the connections with FIN, and so does a stop with what is left at the end of the grace period. That held for callers of HTTP/1.0, and since for answers without a length or chunks, which were passed on without either. Class: the absence of more data taken for an end that nobody has stated.

Change: callers get a length or chunks whatever the endpoint sends. Where a stream cannot have chunks (HTTP/1.0), SO_LINGER of zero holds from its head to its last event, so that the kernel resets the connection if anything else ends it; it is lifted for the orderly end, after all was handed to the kernel.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -162,9 +162,10 @@
 		"failure", codeOf(result.Failure), "cause", causeOf(result.Failure), "ran", ranOf(result.Failure))
 	switch {
 	case result.Failure == nil:
+		w.complete()
 	case result.HeadSent:
 		// A broken connection is the only way to signal an incomplete response.
-		w.breakOff(r)
+		panic(http.ErrAbortHandler)
 	default:
 		h.refuse(w.w, r, req.ID, result.Failure)
 	}
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -27,6 +27,7 @@
 	chunks bool
 	// framing is how the end of the response shows, once its head was sent.
 	framing framing
+	conn    callerConn
 }
 
 // framing is how the end of a response shows to the caller.
@@ -37,7 +38,8 @@
 	// byLength and byChunks show an end that comes too early.
 	byLength framing = "length"
 	byChunks framing = "chunks"
-	// byClose means that the body ends with the connection.
+	// byClose means that the body ends with the connection. Until the response is complete, the connection ends with a
+	// reset, also if the process ends.
 	byClose framing = "close"
 )
 
@@ -47,6 +49,7 @@
 	control := http.NewResponseController(w)
 	return &responseWriter{
 		request: id, w: w, control: control, deadline: stallDeadline{stall: stall, set: control.SetWriteDeadline}, chunks: r.ProtoAtLeast(1, 1),
+		conn: callerConnOf(r),
 	}
 }
 
@@ -65,13 +68,11 @@
 	case length >= 0:
 		p.framing = byLength
 		dst["Content-Length"] = []string{strconv.FormatInt(length, 10)}
-	case length == relay.UntilClose:
-		p.framing = byClose
-		dst["Transfer-Encoding"] = []string{"identity"} // makes net/http send no chunks, and close the connection
 	case p.chunks:
 		p.framing = byChunks
 	default:
 		p.framing = byClose
+		p.conn.resetAtClose()
 	}
 	p.w.WriteHeader(status)
 	p.recordBegin()
@@ -105,10 +106,9 @@
 // close removes the deadline of the writes.
 func (p *responseWriter) close() { p.deadline.remove() }
 
-// breakOff ends an incomplete response. Where the end of the connection would end it well, the connection is reset.
-func (p *responseWriter) breakOff(r *http.Request) {
+// complete ends a complete response.
+func (p *responseWriter) complete() {
 	if p.framing == byClose {
-		resetAtClose(r.Context())
+		p.conn.endAtClose()
 	}
-	panic(http.ErrAbortHandler)
 }
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/springweir/springweir/internal/h1"
@@ -61,14 +61,28 @@
 	return c
 }
 
-// resetAtClose makes the connection of a request end with a reset.
-func resetAtClose(ctx context.Context) {
-	c, ok := ctx.Value(headConnKey{}).(*headConn)
+// callerConn is the socket of a caller's connection; nil if it is not known, as in tests.
+type callerConn struct{ socket *net.TCPConn }
+
+// callerConnOf returns the connection of a request.
+func callerConnOf(r *http.Request) callerConn {
+	head, ok := r.Context().Value(headConnKey{}).(*headConn)
 	if !ok {
-		return
+		return callerConn{}
 	}
-	if tcp, ok := socketOf(c).(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // on failure the connection is closed without a reset
+	tcp, _ := socketOf(head).(*net.TCPConn)
+	return callerConn{tcp}
+}
+
+// resetAtClose makes the connection end with a reset, whoever closes it: the kernel does so if the process ends.
+func (c callerConn) resetAtClose() { c.setLinger(0) }
+
+// endAtClose makes the connection end with a FIN after all that was sent.
+func (c callerConn) endAtClose() { c.setLinger(-1) }
+
+func (c callerConn) setLinger(seconds int) {
+	if c.socket != nil {
+		_ = c.socket.SetLinger(seconds) // fails only if the connection is closed
 	}
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -116,8 +116,7 @@
 	Tokens int
 }
 
-// UntilClose is the length of a body that ends with its connection. The endpoint has not said that it is complete, and no
-// length or last chunk may say so to the caller.
+// UntilClose is the length of a body with neither a length nor chunks, which ends with its connection.
 const UntilClose = -2
 
 // Response is an endpoint's response whose head was read. Read returns io.EOF only at the end of a
@@ -147,7 +146,7 @@
 // ResponseWriter writes a response to the caller. Its methods return an error once the caller has
 // disconnected.
 type ResponseWriter interface {
-	// WriteHead sends the head. Length is the length of the body, or -1 if it is unknown, or UntilClose.
+	// WriteHead sends the head. Length is the length of the body, or -1 if it is unknown.
 	WriteHead(status int, header http.Header, length int64) error
 	// Write sends a chunk of the body immediately.
 	Write(p []byte) error
--- a/relay/response.go
+++ b/relay/response.go
@@ -183,12 +183,9 @@
 }
 
 // sendHead sends the status and headers of the response to the caller. A length of -1 means that
-// it is unknown. If only the end of its connection ended the response, the same holds for the caller.
+// it is unknown.
 func (j *job) sendHead(response Response, length int64) *failure.Request {
-	if response.Length() == UntilClose {
-		length = UntilClose
-		j.result.Unframed = true
-	}
+	j.result.Unframed = response.Length() == UntilClose
 	j.result.HeadSent, j.result.Status = true, response.Status()
 	j.result.TimeToHead = clock.Since(j.req.Received)
 	if err := j.writer.WriteHead(response.Status(), response.Header(), length); err != nil {
