--- a/caller/servicecall.go
+++ b/caller/servicecall.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/springweir/springweir/caller/wire"
@@ -76,6 +77,9 @@
 	if resp.Replayed {
 		header.Set(wire.HeaderReplayed, "true")
 	}
+	if len(resp.Body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
 	x.w.WriteHeader(resp.Status)
 	if _, err := x.w.Write(resp.Body); err != nil {
 		x.recordFailure(callerDisconnected(err))
