reach: an endpoint that nobody reaches has ended, for answers without a frame

Cause: the check was that for crashes, which asks for proof that the endpoint is down: a VM that reaches no endpoint, or another VM that merely does not reach it, outweighs the refusals. Leaving endpoints were not asked at all. For an answer whose end nobody has stated, the proof must be that the endpoint is up.

Change: RefusedByAll. Another incarnation shows the end too. Connections that hang are still no evidence: a busy endpoint accepts them late. Control calls are not checked; their JSON shows a cut.

TestStreamsOfEndpointsThatLeaveDoNotLookWhole asks for whole answers of one that serves on, and for a visible end of one that has ended. TestEndpointThatNobodyReachesIsRefusedByAll.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,8 +139,8 @@
 	// configuration and an error if only parts are malformed.
 	DecodeConfig   func(table.Row) (*routes.Config, error)
 	DecodeEndpoint func(table.Row) (directory.Registration, error)
-	// SetEnded sets the function that reports whether an endpoint has ended, without having announced it. It may be nil.
-	SetEnded func(func(*directory.Endpoint) bool)
+	// SetEnded sets the function that reports whether an endpoint has ended. It may be nil.
+	SetEnded func(func(context.Context, *directory.Endpoint) bool)
 	// ObserveResponses sets the function called with each response of an endpoint. It may be nil.
 	ObserveResponses func(func(signals.Response))
 	// CloseStaleConnections closes connections to endpoints that are not in the snapshot or have
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -90,15 +90,15 @@
 // endCheckTimeout bounds the check of whether an endpoint has ended.
 const endCheckTimeout = 200 * time.Millisecond
 
-// hasEnded reports whether an endpoint has ended without having announced it: one that drains may refuse connections
-// while its last responses end. If it has not, the connection that showed it is kept for the next request.
-func (g *Gateway) hasEnded(e *directory.Endpoint) bool {
-	if now := g.directory.Snapshot().Endpoint(e.ID); now == nil || !now.Usable() {
-		return false
+// hasEnded reports whether an endpoint has ended: it has another incarnation, or refuses connections. That it does not
+// accept any in time is no evidence, since a busy endpoint accepts them late.
+func (g *Gateway) hasEnded(ctx context.Context, e *directory.Endpoint) bool {
+	if now := g.directory.Snapshot().Endpoint(e.ID); now != nil && now.Incarnation() != e.Incarnation() {
+		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	return g.isDown(ctx, e, func() {})
+	return g.reach.RefusedByAll(ctx, e)
 }
 
 // responsiveVMs returns the other VMs that are responsive.
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -34,7 +34,6 @@
 type framing string
 
 const (
-	noHead framing = ""
 	// byLength and byChunks show an end that comes too early.
 	byLength framing = "length"
 	byChunks framing = "chunks"
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -18,6 +18,8 @@
 	// unframed is UntilClose, for the response of this connection's server.
 	unframed bool
 	ended    bool
+	// endedErr is returned by all reads after the end, if the server has ended too.
+	endedErr error
 	closing  bool
 	ex       *exchange
 }
@@ -28,11 +30,12 @@
 	n, err := r.body.Read(b)
 	if err == io.EOF {
 		if r.unframed && !r.ended {
-			if ended := r.ex.checkServer(); ended != nil {
-				return n, ended
-			}
+			r.endedErr = r.ex.checkServer()
 		}
 		r.ended = true
+		if r.endedErr != nil {
+			return n, r.endedErr
+		}
 		return n, err
 	}
 	return n, r.ex.pool.bodyError(err)
--- a/internal/h1/server_ended.go
+++ b/internal/h1/server_ended.go
@@ -7,7 +7,7 @@
 )
 
 // If a process ends, the kernel closes its connections as if each response had been complete. A response that only the
-// end of its connection ends is therefore complete only if the server outlives it.
+// end of its connection ends is therefore incomplete if its server has ended too.
 
 var endedWithServer = metrics.NewCounter("springweir_responses_ended_with_server_total")
 
--- a/reach/inquiry.go
+++ b/reach/inquiry.go
@@ -119,6 +119,27 @@
 	return &Error{Code: failure.EndpointUnreachable, Message: cause.Error()}
 }
 
+// RefusedByAll reports whether an endpoint refuses a connection of this VM and no other VM reaches it before ctx ends. Unlike
+// for a crash, which Connect reports, it suffices that nobody is known to reach it. If this VM reaches the endpoint, the
+// connection is kept for the next request.
+func (c *Client) RefusedByAll(ctx context.Context, e *directory.Endpoint) bool {
+	if c.cfg.Down(e) {
+		return true
+	}
+	err := c.cfg.Direct.Connect(ctx, e)
+	if !errors.Is(err, unix.ECONNREFUSED) {
+		return false
+	}
+	reached := make(chan bool, 1)
+	go func() { reached <- c.inquire(ctx, e, err) == responded }()
+	select {
+	case other := <-reached:
+		return !other
+	case <-ctx.Done():
+		return true
+	}
+}
+
 // RefusalIsOwn reports whether a connection that an endpoint refused may be due to this VM's network: it
 // does not reach other endpoints of the zone.
 func (c *Client) RefusalIsOwn(ctx context.Context, e *directory.Endpoint) bool {
