loadshare: the collector of a single zone asks the second keeper for streams

In a region of more than 16 VMs whose VMs are all in one zone, the collector asked no other VM for the record of a stream, and counted no others: one that was cut off from the others and the store took itself for the only VM, and inferred that a stream began on the only version that it knew (rule ORDER). Found by reading, beside a report of streams joined from two versions during a release; no caller is known to have seen it.

Now it asks the VM after it, which keeps the records of its zone as well, and counts one other VM also when it hears of none.

TestCollectorOfOnlyZoneHasKeepers failed before: "[] of 0 others are asked" in both cases. Tests of loadshare, origin and gateway pass.

--- a/loadshare/streams.go
+++ b/loadshare/streams.go
@@ -116,20 +116,32 @@
 }
 
 // StreamKeepers returns the other VMs that may hold a stream record and are presumed alive: those of a small
-// region, and the collectors of a large one. The number of others includes those that are not.
+// region, and the collectors of a large one, or the second keeper of its only zone. The number of others
+// includes those that are not.
 func (x *Exchange) StreamKeepers() (alive []Peer, others int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := clock.Now()
-	list := x.region.peers
-	if x.region.usesCollectors() {
-		list = append(x.region.otherCollectors(now), x.region.collector(x.region.self.Zone, now))
-	}
-	list = slices.DeleteFunc(slices.Clone(list), func(p Peer) bool { return p.Name == x.cfg.VM })
+	list := slices.DeleteFunc(x.region.streamKeepers(now), func(p Peer) bool { return p.Name == x.cfg.VM })
 	others = len(list)
 	return slices.DeleteFunc(list, func(p Peer) bool { return !x.region.presumedAlive(p.Name, now) }), others
 }
 
+// streamKeepers returns the VMs that may hold a stream record, which may include this one.
+func (r *region) streamKeepers(now time.Time) []Peer {
+	if !r.usesCollectors() {
+		return slices.Clone(r.peers)
+	}
+	list := append(r.otherCollectors(now), r.collector(r.self.Zone, now))
+	if len(list) > 1 || !r.isCollector(now) {
+		return list
+	}
+	if p, ok := r.secondKeeper(now, 0); ok {
+		return append(list, p)
+	}
+	return append(list, r.peers[0]) // this VM may be cut off, and is not the only one
+}
+
 // withStreams adds the stream records of this round to the datagrams of this VM's own load, which go to
 // all VMs that keep these records or forward them.
 func (x *Exchange) withStreams(loads []*sharepb.Load) []*sharepb.Load {
--- a/loadshare/streams_test.go
+++ b/loadshare/streams_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/loadshare/sharepb"
 )
 
@@ -169,3 +170,26 @@
 		t.Errorf("%d records are queued, want 1", n)
 	}
 }
+
+// Guards against a VM that counts no others because it hears of none and so collects for the only zone itself: it would
+// take itself for the only VM. While it hears of them, it asks the VM that keeps its zone's records besides.
+func TestCollectorOfOnlyZoneHasKeepers(t *testing.T) {
+	self := Peer{Name: "vm00", Zone: "a", Capacity: 9}
+	x := New(Config{VM: self.Name, Zone: self.Zone, Capacity: self.Capacity})
+	var peers []Peer
+	for i := range directPeers + 5 {
+		peers = append(peers, Peer{Name: fmt.Sprintf("vm%02d", i+1), Zone: self.Zone, Capacity: 1})
+	}
+	x.SetPeers(peers)
+	x.region.record(clock.Now(), &sharepb.Load{Vm: "vm01"})
+	if alive, others := x.StreamKeepers(); len(alive) != 1 || alive[0].Name != "vm01" || others != 1 {
+		t.Errorf("%v of %d others are asked, want vm01", alive, others)
+	}
+	heard := clock.Now().Add(-time.Hour)
+	for _, p := range peers {
+		x.region.lastSeen[p.Name], x.region.awaitedSince[p.Name] = heard, heard
+	}
+	if alive, others := x.StreamKeepers(); len(alive) != 0 || others != 1 {
+		t.Errorf("when no other is heard, %v of %d others are asked, want none of 1", alive, others)
+	}
+}
