origin: infer a version only from a row that was just read

What callers saw: during a release, one VM was out of step while endpoints of a new version joined. Streams that had begun on them through another VM broke off, were taken up at that VM and went on at the old version (ORDER).

Cause: a stream without a record is inferred to have begun on the only version that the service has ever had, if the VM receives the changes of the endpoints. It notices seconds later that it does not, and a read of the row that failed left the row as known before. A VM that none of several others answers refuses; one whose only other VM does not answer went by that stale state.

Why it works: this VM's claim to receive changes counts only if the row was read at most 0.1 s before the take-up. The row names the new version soon after the first VM has seen it. If it cannot be read, another VM must vouch for the state, or all others must answer that they have lost the store too. A read that began before a suspension and is joined after it is too old.

Price: while the only other VM does not answer and the store takes more than 0.2 s, take-ups without a record are refused also if there is one version.

--- a/origin/register.go
+++ b/origin/register.go
@@ -108,17 +108,30 @@
 	return registration{}, false
 }
 
-// refresh reads the row of a service unless it was read a moment ago. If the store does not respond, what is known
-// stays.
-func (r *register) refresh(ctx context.Context, service string) {
+// refresh reads the row of a service unless it was read a moment ago, and reports whether what is known is that recent
+// then. If the store does not respond, what is known stays.
+func (r *register) refresh(ctx context.Context, service string) bool {
+	earliest := r.now().Add(-registerMaxAge)
+	if r.isReadSince(service, earliest) {
+		return true
+	}
 	r.mu.Lock()
-	row := r.known[service]
-	fresh := row != nil && r.now().Sub(row.readAt) < registerMaxAge
 	failed := r.failing()
 	r.mu.Unlock()
-	if !fresh && !failed {
-		_, _ = r.read(ctx, service)
+	if failed {
+		return false
 	}
+	_, _ = r.read(ctx, service)
+	// A read that others wait for as well may have begun before this VM was suspended.
+	return r.isReadSince(service, earliest)
+}
+
+// isReadSince reports whether the row of a service was read at a time or later.
+func (r *register) isReadSince(service string, earliest time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.known[service]
+	return row != nil && !row.readAt.Before(earliest)
 }
 
 // failing reports whether a call failed a moment ago. The caller holds mu.
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -269,10 +269,12 @@
 		return decided.Software, from
 	}
 	// This VM may have been suspended, or cut off, while another version was there.
-	t.register.refresh(ctx, r.Service)
+	confirmed := t.register.refresh(ctx, r.Service)
 	t.mu.Lock()
 	own = t.view(now, r.Service, window)
 	t.mu.Unlock()
+	// The loss of the endpoints' changes shows only after seconds.
+	own.current = own.current && confirmed
 	hash, outcome := infer(own, answers, len(peers), others)
 	if outcome == inferred && len(r.Route.Targets) > 1 {
 		hash, outcome = 0, notOneVersion
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -430,6 +430,34 @@
 	})
 }
 
+// Guards against a VM that infers the version from a row that it has read before another version came, while neither the
+// store nor the only other VM answers it. The loss of its feed does not show yet.
+func TestOneOfTwoVMsIsCutOffFromAll(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// silence is set if the other VM is not presumed alive any more, and failed if a call to the store failed just before.
+		silence, failed bool
+	}{{"just cut off", false, false}, {"the other VM is not heard", true, false}, {"the store failed before", true, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
+				r.maintainAll(testWindow + time.Second)
+				vm := r.vms[1]
+				vm.cutOff, vm.silence = true, tc.silence
+				r.vms[0].register("v2")
+				r.vms[0].registerVersions(r.t.Context())
+				r.vms[0].begin("s", "v2")
+				time.Sleep(20 * time.Millisecond)
+				r.rows.SetDown(true)
+				if tc.failed {
+					vm.Tracker.register.refresh(r.t.Context(), "llm")
+					r.rows.SetDown(false)
+				}
+				checkVersion(t, "stream of the other VM", vm.takeUp("s"), string(failure.OriginUnknown))
+			})
+		})
+	}
+}
+
 // While the store does not respond, a VM that has read the versions goes on by them, and one that has not refuses.
 func TestVersionsWithoutTheStore(t *testing.T) {
 	inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
