origin: VMs that are cut off together infer no version

VMs of a zone that was cut off from the others and the store took the others to be down after 0.4 s and the store to be away for all after some seconds. They answered each other, and a stream that had begun on a new version elsewhere went on at the old one (ORDER). Found by reading, beside the report of a single VM that was out of step; no caller is known to have seen it.

Now the VMs that answer, together with the one that asks, must be most of those that can be asked: otherwise another version may have come on the other side.

TestZoneIsCutOffFromAll and a case of TestInfer failed before. The other cases are unchanged; one shows that two of three VMs still infer without the store. Price: with the store away and half of the VMs down, take-ups without a record are refused also if there is one version.

--- a/origin/decide.go
+++ b/origin/decide.go
@@ -35,8 +35,8 @@
 // Once there was a second one, the record may be lost with the VMs that had it, or have expired. It is the only one if
 // nobody knows of another, somebody knows that there can have been none, and somebody receives the changes of the
 // endpoints. If nobody does, the platform's store has
-// failed for all VMs, provided that all that were asked have answered; otherwise this VM may be cut off. So
-// may be one that none of several other VMs answers.
+// failed for all VMs, provided that all that were asked have answered and that they are most VMs together with this one;
+// otherwise these may be cut off. So may be one that none of several other VMs answers.
 func infer(own view, answers []Answer, asked, others int) (software uint32, outcome inference) {
 	versions, covered, current := slices.Clone(own.versions), own.covered, own.current
 	for _, a := range answers {
@@ -47,7 +47,7 @@
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
 	maybeCutOff := len(answers) == 0 && others >= minCutOff
-	allAnswered := len(answers) == asked && (asked > 0 || others == 0)
+	allAnswered := len(answers) == asked && 2*(len(answers)+1) > others+1
 	switch {
 	case len(versions) != 1:
 		return 0, notOneVersion
--- a/origin/decide_test.go
+++ b/origin/decide_test.go
@@ -33,6 +33,8 @@
 		{"the store is away for all", stale, []Answer{stalePeer, stalePeer}, 2, 2, inferred},
 		{"the store is away, one VM does not answer", stale, []Answer{stalePeer}, 2, 2, notCurrent},
 		{"the store is away, the other VM is down", stale, nil, 0, 1, notCurrent},
+		{"the store is away, one of two others is down", stale, []Answer{stalePeer}, 1, 2, inferred},
+		{"the store is away, as is half of the VMs", stale, []Answer{stalePeer}, 1, 3, notCurrent},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			software, got := infer(tc.own, tc.answers, tc.asked, tc.others)
--- a/origin/tracker_test.go
+++ b/origin/tracker_test.go
@@ -458,6 +458,25 @@
 	}
 }
 
+// Guards against VMs of a zone that is cut off from the others and the store, and that take the others to be down and the
+// store to be away for all: another version may have come there.
+func TestZoneIsCutOffFromAll(t *testing.T) {
+	inRegion(t, 4, []string{"v1"}, func(r *testRegion) {
+		r.maintainAll(testWindow + time.Second)
+		for _, vm := range r.vms[:2] {
+			vm.down, vm.downAt = true, clock.Now()
+			vm.register("v2")
+		}
+		r.vms[0].registerVersions(r.t.Context())
+		r.rows.SetDown(true)
+		for _, vm := range r.vms[2:] {
+			vm.SetCurrent(false)
+		}
+		time.Sleep(10 * time.Second)
+		checkVersion(t, "stream of the other zone", r.vms[2].takeUp("s"), string(failure.OriginUnknown))
+	})
+}
+
 // While the store does not respond, a VM that has read the versions goes on by them, and one that has not refuses.
 func TestVersionsWithoutTheStore(t *testing.T) {
 	inRegion(t, 2, []string{"v1"}, func(r *testRegion) {
