lease: a row that holds no lease is taken over

Cause: a contender that could not decode the lease's row gave up each time, so that one odd entry ended the duties of all VMs for good. A stated duration of 9e12 ms kept it for 285 years, and a fencing token at the highest integer made the next one zero, which the platform and the engines refuse. Class: an entry that cannot be read blocks the writer that would repair it; numbers of a row are used unchecked.

Decode now refuses durations and tokens that no holder writes. A contender observes a row that cannot be decoded unchanged for the usual duration, as its holder may still act, and then takes it over. No token is lost by that: each tenure writes the row, so that none of the epoch is above the number of the row's version.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -91,16 +91,16 @@
 		return nil, 0, err
 	}
 	row := rows[0]
+	epoch := h.cfg.epoch()
 	var rec Record
 	if row.Version != table.Absent {
 		if rec, err = Decode(row); err != nil {
-			klog.Errorf("lease: %v", err)
-			return nil, 0, err
+			klog.Errorf("lease: taken over once the holder's time has passed: %v", err)
+			rec = recoverRecord(row, epoch)
 		}
 	}
 	now := clock.Now()
 	obs.observeVersion(row.Version, now)
-	epoch := h.cfg.epoch()
 	obs.observeEpoch(epoch, now)
 	rec.Released = rec.Released || h.cfg.succeeds(rec.Holder)
 	if wait := takeoverWait(row, rec, *obs, h.cfg.TTL, now); wait > 0 {
--- a/lease/record.go
+++ b/lease/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/table"
@@ -42,15 +44,42 @@
 	return table.Key{Table: TableName, Row: pool + "/" + zone}
 }
 
+// maxTTL bounds the duration of a lease that a row may state.
+const maxTTL = time.Hour
+
+// maxFence bounds the fencing token that a row may state. It leaves room for those of later tenures.
+const maxFence = math.MaxUint64 / 2
+
 // Decode decodes the value of a lease's row. The error is *DecodeError.
 func Decode(row table.Row) (Record, error) {
 	var rec Record
 	if err := json.Unmarshal(row.Value, &rec); err != nil {
 		return Record{}, &DecodeError{Key: row.Key, Cause: err}
 	}
+	switch {
+	case rec.TTLMillis < 0 || rec.TTLMillis > maxTTL.Milliseconds():
+		return Record{}, &DecodeError{Key: row.Key, Cause: &RangeError{Field: "ttl_ms"}}
+	case rec.Fence == 0 || rec.Fence > maxFence:
+		return Record{}, &DecodeError{Key: row.Key, Cause: &RangeError{Field: "fence"}}
+	}
 	return rec, nil
 }
 
+// recoverRecord returns a record for a row that cannot be decoded. Its holder may still have authority, for the usual duration.
+// Each tenure writes the row, so that no fencing token of the epoch is above the number of its version.
+func recoverRecord(row table.Row, epoch uint64) Record {
+	return Record{Fence: epochFence(epoch) + row.Version.Number(), Epoch: epoch}
+}
+
+// RangeError reports a field of a lease's row whose value no holder writes.
+type RangeError struct{ Field string }
+
+// Error implements error.
+func (e *RangeError) Error() string { return e.Field + " is out of range" }
+
+// Reason implements failure.Coded.
+func (e *RangeError) Reason() failure.Reason { return failure.Internal }
+
 // encode cannot fail: a Record holds only strings, numbers and booleans.
 func (r Record) encode() []byte {
 	value, err := json.Marshal(r)
