scaling: a row that holds no base is replaced

Cause: a service whose row could not be decoded was never managed again, as its base stayed unknown: endpoints that were lost were not ordered anew. A row with a base of zero or less also had the store read at every check. Class: an entry that cannot be read blocks the writer that would repair it.

A base that no holder writes is now malformed too, and the holder replaces such a row, at its version, by a base determined anew. Any other failure to read the row still leaves the service alone. The golden test keeps its checks; the functions return the row's version instead of whether it is there.

--- a/duties/scaling/golden_test.go
+++ b/duties/scaling/golden_test.go
@@ -14,7 +14,7 @@
 // row, one per line.
 func goldenRow(t *testing.T) []byte {
 	rows := memtable.New()
-	if err := writeBase(t.Context(), rows, "slots", 12); err != nil {
+	if err := writeBase(t.Context(), rows, "slots", table.Absent, 12); err != nil {
 		t.Fatal(err)
 	}
 	list, _, err := rows.List(t.Context(), "springweir-scaling")
@@ -37,8 +37,8 @@
 	if _, err := rows.Commit(t.Context(), table.Txn{Writes: []table.Write{write}}); err != nil {
 		t.Fatal(err)
 	}
-	if base, found, err := readBase(t.Context(), rows, "slots"); base != 12 || !found || err != nil {
-		t.Errorf("the golden row decodes to %d, found %t (%v), want 12", base, found, err)
+	if base, version, err := readBase(t.Context(), rows, "slots"); base != 12 || version == table.Absent || err != nil {
+		t.Errorf("the golden row decodes to %d, version %v (%v), want 12", base, version, err)
 	}
 	if row := goldenRow(t); !bytes.Equal(row, golden) {
 		t.Errorf("wrote\n%s\nwant\n%s", row, golden)
--- a/duties/scaling/scaling.go
+++ b/duties/scaling/scaling.go
@@ -196,8 +196,9 @@
 // base returns the number of endpoints with which the operators installed the service, or zero
 // while it is unknown. It is kept in the store, because later lease holders see other numbers.
 func (s *Scaler) base(ctx context.Context, service string, state *serviceState, current map[string]Zone) (int, error) {
-	base, found, err := readBase(ctx, s.cfg.Rows, service)
-	if err != nil || found {
+	base, version, err := readBase(ctx, s.cfg.Rows, service)
+	var malformed *table.MalformedRowError
+	if base > 0 || err != nil && !errors.As(err, &malformed) {
 		return base, err
 	}
 	total, now := 0, s.cfg.Now()
@@ -211,7 +212,7 @@
 		state.nextAttempt = now.Add(baseRetryInterval)
 		return 0, nil
 	}
-	if err := writeBase(ctx, s.cfg.Rows, service, state.highest); err != nil {
+	if err := writeBase(ctx, s.cfg.Rows, service, version, state.highest); err != nil {
 		// Another holder may have written the row, or this one without receiving the response. The
 		// next attempt reads it.
 		return 0, err
