usage: bound the memory that a stored sum takes

Cause: a sum was decompressed without a bound, so that a row of 65 kB took 232 MB of memory, more than the smallest VM has; and a row without counts was taken for a sum. Class: a size that an entry states is trusted.

The text is read up to a bound far above the largest sum (TestSumOfManyOrganisationsFitsRow), and a sum without counts is malformed. The window of such a row is not reported, as before; others are.

TestDecompressionIsBounded and TestOddSumsAreRefused failed before, the second for null and for a row without counts.

--- a/duties/usage/errors.go
+++ b/duties/usage/errors.go
@@ -17,3 +17,12 @@
 
 // Reason implements failure.Coded.
 func (e *SumMissingError) Reason() failure.Reason { return failure.TableEpochOver }
+
+// NoCountsError reports a stored sum without counts.
+type NoCountsError struct{}
+
+// Error implements error.
+func (e *NoCountsError) Error() string { return "no counts" }
+
+// Reason implements failure.Coded.
+func (e *NoCountsError) Reason() failure.Reason { return failure.Internal }
--- a/duties/usage/row.go
+++ b/duties/usage/row.go
@@ -15,6 +15,9 @@
 // Table is the table that holds the sums of windows. A sum is written before it is first reported.
 const Table = "springweir-usage"
 
+// maxSumBytes bounds a sum that is decompressed. Sums of the largest number of organisations are well below it.
+const maxSumBytes = 4 << 20
+
 // record is the value of a row: JSON, compressed because the counts of thousands of organisations
 // would otherwise exceed the size limit of a row.
 type record struct {
@@ -43,9 +46,12 @@
 	z, err := gzip.NewReader(bytes.NewReader(row.Value))
 	if err == nil {
 		var text []byte
-		text, err = io.ReadAll(z)
+		text, err = io.ReadAll(io.LimitReader(z, maxSumBytes+1))
 		err = errors.Join(err, json.Unmarshal(text, &r))
 	}
+	if err == nil && r.Counts == nil {
+		err = &NoCountsError{}
+	}
 	if err != nil {
 		return record{}, &table.MalformedRowError{Key: row.Key, Version: row.Version, Problem: "row holds no window sum", Cause: err}
 	}
