relay: responses to HEAD state the length that their endpoint states

Cause: the head of a plain response states the length of the body that was read, which HEAD does not have.

Change: for HEAD it is the length that the endpoint states, or none.

TestResponsesToHeadStateLengthOfEndpoint failed before in all four cases (0 instead of 34, and instead of none) and passes.

--- a/relay/response.go
+++ b/relay/response.go
@@ -89,7 +89,11 @@
 // sendBuffered sends a buffered response to the caller and releases it.
 func (j *job) sendBuffered(buffered *bufferedResponse) *failure.Request {
 	defer buffered.body.release()
-	if failed := j.sendHead(buffered.response, buffered.body.length()); failed != nil {
+	length := buffered.body.length()
+	if j.req.Method == http.MethodHead {
+		length = max(-1, buffered.response.Length()) // that of the body which a GET would get
+	}
+	if failed := j.sendHead(buffered.response, length); failed != nil {
 		return failed
 	}
 	for _, piece := range buffered.body.pieces {
