--- a/soak.mk
+++ b/soak.mk
@@ -2,8 +2,8 @@
 .PHONY: soak soak-recovery soak-config soak-drills soak-parts soak-provoked soak-versions
 SEEDS ?= 1-50
 
-soak: ## run real gateways under faults for the seeds A-B, about 20 s each
-	SPRINGWEIR_SOAK_SEEDS=$(SEEDS) go test ./platform/soak -run 'TestSoak$$' -count=1 -v -timeout 2h
+soak: ## run real gateways under faults for the seeds A-B, about 25 s each; VMS: the number of gateways
+	SPRINGWEIR_SOAK_SEEDS=$(SEEDS) SPRINGWEIR_SOAK_VMS=$(VMS) go test ./platform/soak -run 'TestSoak$$' -count=1 -v -timeout 2h
 
 soak-config: ## change the configuration beside disturbed ways to the store for the seeds A-B; VMS: the number of gateways
 	SPRINGWEIR_SOAK_CONFIG=$(SEEDS) SPRINGWEIR_SOAK_VMS=$(VMS) go test ./platform/soak -run TestSoakConfiguration -count=1 -v -timeout 2h
