--- a/caller/framing_test.go
+++ b/caller/framing_test.go
@@ -19,7 +19,9 @@
 func TestServiceResponsesHaveALength(t *testing.T) {
 	const length = 100_000
 	h := newHarness()
-	h.svc.Script(func(service.Call) fakeservice.Behaviour { return fakeservice.Behaviour{Body: strings.Repeat("x", length)} })
+	h.svc.Script(func(service.Call) fakeservice.Behaviour {
+		return fakeservice.Behaviour{Body: strings.Repeat("x", length)}
+	})
 	server := httptest.NewServer(h.handler)
 	defer server.Close()
 	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
