gateway: counters of responses by framing are made once

The test of closed connections no longer passes a length that WriteHead does not get, and gains the case of a response with a length.

--- a/gateway/ended_response_test.go
+++ b/gateway/ended_response_test.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/springweir/springweir/memory"
-	"github.com/springweir/springweir/relay"
 )
 
 // Guards against a response that looks whole to a caller of HTTP/1.0 because its connection was closed before its end.
@@ -20,10 +19,9 @@
 		length   int64
 		want     error
 	}{
-		"incomplete":           {length: -1, want: unix.ECONNRESET},
-		"incomplete, unframed": {length: relay.UntilClose, want: unix.ECONNRESET},
-		"complete":             {length: -1, complete: true},
-		"complete, unframed":   {length: relay.UntilClose, complete: true},
+		"incomplete":              {length: -1, want: unix.ECONNRESET},
+		"complete":                {length: -1, complete: true},
+		"complete, with a length": {length: 3, complete: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -157,7 +157,8 @@
 func (h *handler) finish(w *responseWriter, r *http.Request, req *relay.Request, result relay.Result) {
 	recordRequest(req, result)
 	klog.InfoS("gateway: request ended", "request", req.ID, "route", req.Route.Name, "config", h.state.version(),
-		"status", result.Status, "begun", result.HeadSent, "framing", w.framing, "endpointUnframed", result.Unframed, "endpoint", result.Endpoint, "attempts", result.Attempts,
+		"status", result.Status, "begun", result.HeadSent, "framing", w.framing, "endpointUnframed", result.Unframed,
+		"endpoint", result.Endpoint, "attempts", result.Attempts,
 		"events", result.Events, "firstMS", result.TimeToHead.Milliseconds(), "pauseMS", result.MaxEventGap.Milliseconds(), "tookMS", clock.Since(req.Received).Milliseconds(),
 		"failure", codeOf(result.Failure), "cause", causeOf(result.Failure), "ran", ranOf(result.Failure))
 	switch {
--- a/gateway/response_writer.go
+++ b/gateway/response_writer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -42,6 +41,13 @@
 	byClose framing = "close"
 )
 
+// responsesBegun counts the responses whose head was sent.
+var responsesBegun = map[framing]*metrics.Counter{
+	byLength: metrics.NewCounter(`springweir_responses_begun_total{framing="length"}`),
+	byChunks: metrics.NewCounter(`springweir_responses_begun_total{framing="chunks"}`),
+	byClose:  metrics.NewCounter(`springweir_responses_begun_total{framing="close"}`),
+}
+
 var _ relay.ResponseWriter = (*responseWriter)(nil)
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, id string, stall time.Duration) *responseWriter {
@@ -96,7 +102,7 @@
 // recordBegin counts a response by its framing. One that ends with the connection is logged: if the process ends before
 // it, there is no other trace of it.
 func (p *responseWriter) recordBegin() {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_responses_begun_total{framing=%q}`, p.framing)).Inc()
+	responsesBegun[p.framing].Inc()
 	if p.framing == byClose {
 		klog.InfoS("gateway: response begun that ends with its connection", "request", p.request)
 	}
