review: changes of a large configuration kill all gateways (case 6)

Cause: feedshare keeps the last 256 responses of each table's feed with the whole rows, on every VM; neither bytes nor age bound it. For op/config that is up to 256 whole configurations.

Done: a play of the stand-ins: big_config three times (4,200 routes), then config_storms, three gateways with memory-mb = 184. A stand-in of the platform kills what is over it.

Result: 5 of 5 plays fail: some 200 versions after the last big_config all three gateways are over 184 MB within half a second and are killed, 18 streams are cut. TROUBLE=0 passes.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,11 +24,12 @@
 type play func(r *record, trouble bool) (outcome, error)
 
 var plays = map[string]play{
-	"revoked-key": playRevokedKey,
+	"revoked-key":    playRevokedKey,
+	"config-history": playConfigHistory,
 }
 
 // longest bounds a case.
-const longest = 110 * time.Second
+const longest = 116 * time.Second
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -20,8 +20,10 @@
 	record *record
 	dir    string
 	store  *standin.Store
-	// settings holds lines that replace the bounds of a small deployment.
-	bounds string
+	// bounds are those of the settings, and more further lines of them.
+	bounds, more string
+	// memoryMB is the memory of a machine.
+	memoryMB int
 
 	mu       sync.Mutex
 	gateways []*gateway
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &site{record: r, dir: dir, store: store, bounds: usualBounds}, nil
+	return &site{record: r, dir: dir, store: store, bounds: usualBounds, memoryMB: 284}, nil
 }
 
 // close ends all processes of the site.
@@ -131,14 +133,14 @@
 [limits]
 cpu-share = 0.4
 cores = 1
-memory-mb = 284
+memory-mb = %d
 max-fds = 4100
 link-mbps = 1000.0
 [bounds]
 %s[platform]
 address = %q
 form = "table"
-`, g.name, g.ip, zone, ports[2], ports[2]+15, g.callers, g.ready, s.bounds, s.store.Addr())
+%s`, g.name, g.ip, zone, ports[2], ports[2]+15, g.callers, g.ready, s.memoryMB, s.bounds, s.store.Addr(), s.more)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
