review: names of the platform lie in files

platform.TestPlatformNamesStayInPackage failed on the Go files of review/rig2, which named headers, fields and settings of the platform. They are embedded now, as in review/scene; no test was changed.

--- a/review/rig2/keys.go
+++ b/review/rig2/keys.go
@@ -48,7 +48,7 @@
 	}
 	request.Host = host
 	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "600")
+	request.Header.Set(wire.Deadline, "600")
 	request.Header.Set("Authorization", "Bearer "+key)
 	a.mu.Lock()
 	a.sent[id] = asked{id: id, key: key, gateway: g.name, sentAt: time.Now()}
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -60,8 +60,8 @@
 	}
 	request.Host = host
 	for name, value := range map[string]string{
-		"Request-Id": s.id, "Deadline-Ms": strconv.Itoa(int(streamDeadline.Milliseconds())),
-		"Model-Id": "m", "Token-Count": "220,90", "Prompt-Prefix": "5c1e07a2:79," + s.id + ":141",
+		"Request-Id": s.id, wire.Deadline: strconv.Itoa(int(streamDeadline.Milliseconds())),
+		wire.Model: "m", wire.Tokens: "220,90", wire.Prefix: "5c1e07a2:79," + s.id + ":141",
 	} {
 		request.Header.Set(name, value)
 	}
@@ -144,10 +144,10 @@
 	}
 }
 
-// configOf returns a configuration with some routes more than the two that are used.
+// configOf returns a configuration with some routes more than the one that is used.
 func configOf(version, more int) config {
 	reply := route("/reply/", "assistant", "streaming", 15000)
-	reply["max-attempts"], reply["gap-slo-ms"] = 1, 200
+	reply["max-attempts"], reply[wire.Pause] = 1, 200
 	c := config{Version: version, Routes: []map[string]any{reply}, Limits: usualLimits(), Services: []map[string]any{{
 		"name": "assistant", "health-path": "/health", "max-conns": 580,
 		"engine": map[string]any{"slots": 32, "kv-capacity": 872000, "kv-token-bytes": 131072, "link-mbps": 5.9e6, "handle-ttl-s": 5, "switch-s": 3, "models": []map[string]any{{"name": "m"}}},
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,8 +22,6 @@
 	record *record
 	dir    string
 	store  *standin.Store
-	// bounds are those of the settings, and more further lines of them.
-	bounds, more string
 	// memoryMB is the memory of a machine.
 	memoryMB int
 
@@ -29,29 +29,6 @@
 	gateways []*gateway
 }
 
-// usualBounds are those of the sheets whose deployments take keys away.
-const usualBounds = `contact-ms = 4000
-ack-ms = 6000
-sync-s = 6
-drain-ms = 3000
-grace-s = 8
-loss-slack-ms = 200
-config-apply-ms = 3000
-rollback-slack-ms = 250
-max-stretch-ms = 6000
-revoke-strict = true
-revoke-ms = 5000
-budget-ratio = 0.2
-budget-window-s = 10
-budget-extra = 206
-recovery-s = 15
-transit-ms = 200
-retry-after-s = 3
-fence-required = false
-lease-ms = 3000
-thaw-slack-ms = 300
-`
-
 // newSite starts the store.
 func newSite(r *record) (*site, error) {
 	dir, err := os.MkdirTemp("", "rig2-")
@@ -62,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &site{record: r, dir: dir, store: store, bounds: usualBounds, memoryMB: 284}, nil
+	return &site{record: r, dir: dir, store: store, memoryMB: 284}, nil
 }
 
 // close ends all processes of the site.
@@ -114,33 +91,10 @@
 	}
 	g.callers, g.ready = fmt.Sprintf("%s:%d", g.ip, ports[0]), fmt.Sprintf("%s:%d", g.ip, ports[1])
 	g.settings, g.output = filepath.Join(s.dir, g.name+".toml"), filepath.Join(s.dir, g.name+".log")
-	text := fmt.Sprintf(`node-name = %q
-role = "gateway"
-machine-class = "front"
-serves = ["front"]
-ip = %q
-zone = %q
-region = "here"
-port-range = [%d,%d]
-bootstrap = false
-loss-counts = false
-discovery = "platform"
-entry = "vip"
-heartbeat-ms = 1200
-[listen]
-front = %q
-ready = %q
-[limits]
-cpu-share = 0.4
-cores = 1
-memory-mb = %d
-max-fds = 4100
-link-mbps = 1000.0
-[bounds]
-%s[platform]
-address = %q
-form = "table"
-%s`, g.name, g.ip, zone, ports[2], ports[2]+15, g.callers, g.ready, s.memoryMB, s.bounds, s.store.Addr(), s.more)
+	text := strings.NewReplacer(
+		"NAME", g.name, "IP", g.ip, "ZONE", zone, "FIRST", strconv.Itoa(ports[2]), "LAST", strconv.Itoa(ports[2]+15),
+		"CALLERS", g.callers, "READY", g.ready, "MEMORY", strconv.Itoa(s.memoryMB), "STORE", s.store.Addr(),
+	).Replace(settingsForm)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -153,7 +107,7 @@
 // start runs the command of the deploy file.
 func (g *gateway) start() error {
 	cmd := exec.Command("target/springweir-gateway", "--config", "deploy/gateway.ini")
-	cmd.Env = append(os.Environ(), "SPRINGWEIR_SETTINGS="+g.settings)
+	cmd.Env = append(os.Environ(), wire.Settings+"="+g.settings)
 	log, err := os.OpenFile(g.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -251,8 +205,8 @@
 // route returns a route of the configuration.
 func route(prefix, service, kind string, timeoutMS int) map[string]any {
 	return map[string]any{
-		"name": "r" + prefix, "host": host, "path-prefix": prefix, "kind": kind, "service": service, "priority": 1,
-		"timeout-ms": timeoutMS, "slo-ms": 200, "max-attempts": 2,
+		"name": "r" + prefix, "host": host, wire.PathPrefix: prefix, "kind": kind, "service": service, "priority": 1,
+		"timeout-ms": timeoutMS, wire.Objective: 200, "max-attempts": 2,
 	}
 }
 
