h1: a response cut by a reset during the upload is incomplete

Seen by callers: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: a socket reports an error once, to the first call that meets it, and an end of input to all later ones. Bodies over 2 KiB are written by a goroutine of their own. If the reset reached its write first, the reader saw an orderly end, which is all that ends a body with neither a length nor chunks.

Change: at the end of such a body the write of the request is ended, and its error looked at. Any error but EPIPE and the deadline set for this purpose makes the response incomplete (*BrokenConnectionError, answer-truncated, counted). EPIPE alone means that the peer had ended its side in order before it reset: the kernel reports ECONNRESET, ETIMEDOUT and the like otherwise, so that whole early answers are still delivered. All readers of internal/h1 have this: endpoints, prefills, orders, reports, the store, and the VM that passes a response on. Readers that leave the write to net/http cannot see its error: calls between VMs (LimitBodies) and between zones (PeerTarget.Do) now refuse a response with neither a length nor chunks, which VMs never send; calls of services did before.

--- a/forward/peer.go
+++ b/forward/peer.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/hop"
+	"github.com/springweir/springweir/internal/h1"
 	"github.com/springweir/springweir/internal/httponce"
 	"github.com/springweir/springweir/service"
 )
@@ -79,6 +80,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if !h1.IsFramed(resp) {
+		_ = resp.Body.Close() // closes the connection
+		return nil, &failure.Request{
+			Code: failure.AnswerTruncated, Ran: failure.Unknown, Message: "the answer cannot be proved whole", Cause: &h1.UnframedError{},
+		}
+	}
 	return &service.Response{
 		Attempt: resp.Header.Get(wire.HeaderAttempt),
 		Status:  resp.StatusCode,
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -223,7 +223,7 @@
 	if err = ex.conn.source.end(err); err != nil {
 		return nil, headError(err)
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	unframed := !IsFramed(resp)
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: unframed,
 		body: resp.Body, unframed: unframed, closing: resp.Close, ex: ex,
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -18,19 +18,19 @@
 	// unframed is UntilClose, for the response of this connection's server.
 	unframed bool
 	ended    bool
-	// endedErr is returned by all reads after the end, if the server has ended too.
+	// endedErr is returned by all reads after the end, if the end of the connection does not end the body.
 	endedErr error
 	closing  bool
 	ex       *exchange
 }
 
-// Read implements io.Reader. It returns io.EOF only if the body is complete, *ServerEndedError if the server ended with it, and
-// *LimitError if the body has too much beside its data.
+// Read implements io.Reader. It returns io.EOF only if the body is complete, *ServerEndedError or *BrokenConnectionError if
+// the connection ended for another reason, and *LimitError if the body has too much beside its data.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err == io.EOF {
 		if r.unframed && !r.ended {
-			r.endedErr = r.ex.checkServer()
+			r.endedErr = r.ex.checkEnd()
 		}
 		r.ended = true
 		if r.endedErr != nil {
--- a/internal/h1/transport.go
+++ b/internal/h1/transport.go
@@ -7,7 +7,8 @@
 )
 
 // LimitBodies returns a client like c whose responses are bounded: reading more than limit bytes of a body, or of
-// one that is no success more than MaxFailureBody, returns *LimitError. The transport of c bounds the heads.
+// one that is no success more than MaxFailureBody, returns *LimitError. The transport of c bounds the heads. A response with
+// neither a length nor chunks, whose end net/http does not tell from a reset while it writes a request, is *UnframedError.
 func LimitBodies(c *http.Client, limit int64) *http.Client {
 	limited := *c
 	limited.Transport = &limitedTransport{base: c.Transport, limit: limit}
@@ -25,6 +26,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !IsFramed(response) {
+		_ = response.Body.Close() // closes the connection
+		return nil, &UnframedError{}
+	}
 	limit := t.limit
 	if response.StatusCode != http.StatusOK {
 		limit = min(limit, MaxFailureBody)
