h1: a response with a status below 100 is no response

Seen by callers: a status of 000 itself never reached a caller of a gateway. But such a head counted as an interim response, so that what an endpoint sent after it, or its body if that looked like a response with the request's ID and seal, was delivered as the answer. The client of services (springweir-entry) returned the status 0, for which net/http panics when it is passed on; an order counted as refused by such a response.

Cause: http.ReadResponse accepts any three characters that strconv.Atoi reads as a number from 0 on (000, 099, -00, +20), and the loop over interim responses took all below 200 for one.

Change: h1.CheckHead, which every reader of responses calls on the head that net/http parsed: internal/h1 (endpoints, store, VM to VM), httponce.Send (services, engines, zones, clients of the platform) and engine orders. A malformed head fails the exchange, endpoint-broke, with an unknown outcome, and the connection is reset. 600 and above are passed on as before.

FuzzHead compares with http.ReadResponse and CheckHead, and has one seed more.

--- a/engine/orders.go
+++ b/engine/orders.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/h1"
 )
 
 // Order implements Engine. Each order uses a dedicated connection, so that other
@@ -107,6 +108,9 @@
 func readOrderState(conn net.Conn, o Order) (OrderState, error) {
 	var s OrderState
 	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxOrderResponse)), nil)
+	if err == nil {
+		err = h1.CheckHead(resp)
+	}
 	if err != nil {
 		return s, &UnreachableError{Sent: true, Cause: err}
 	}
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -220,7 +220,10 @@
 		return nil, err
 	}
 	resp, err := http.ReadResponse(ex.conn.reader, &http.Request{Method: method})
-	if err = ex.conn.source.end(err); err != nil {
+	if err = ex.conn.source.end(err); err == nil {
+		err = CheckHead(resp)
+	}
+	if err != nil {
 		return nil, headError(err)
 	}
 	unframed := !IsFramed(resp)
--- a/internal/h1/limits.go
+++ b/internal/h1/limits.go
@@ -198,18 +198,6 @@
 	return err
 }
 
-// maxErrorText bounds the text of the error for a malformed head, in bytes: net/http quotes the whole line.
-const maxErrorText = 256
-
-// malformedHeadError is a head that is no HTTP.
-type malformedHeadError struct{ text string }
-
-// Error implements error.
-func (e *malformedHeadError) Error() string { return e.text }
-
-// Reason implements failure.Coded.
-func (e *malformedHeadError) Reason() failure.Reason { return failure.EndpointBroke }
-
 // headError bounds the text of an error of a head.
 func headError(err error) error {
 	var limit *LimitError
--- a/internal/h1/limits_test.go
+++ b/internal/h1/limits_test.go
@@ -286,13 +286,14 @@
 	return n, nil
 }
 
-// FuzzHead checks that a response within the limits is parsed as by http.ReadResponse, however its bytes arrive.
+// FuzzHead checks that a response within the limits is parsed as by http.ReadResponse and CheckHead, however its bytes arrive.
 func FuzzHead(f *testing.F) {
 	f.Add([]byte(okHead+"Content-Length: 4\r\n\r\nbody"), 1)
 	f.Add([]byte(okHead+"A: b\r\n c\r\n\td\r\n\r\n"), 2)
 	f.Add([]byte("HTTP/1.1 204 No Content\nA: b\nC:\n\n"), 3)
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"), 100)
 	f.Add([]byte(okHead+"Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n3;x=y\r\nabc\r\n0\r\nA: b\r\n\r\n"), 7)
+	f.Add([]byte("HTTP/1.1 000 In Trouble\r\nContent-Length: 4\r\n\r\nbody"), 9)
 	f.Add([]byte("x\n\nHTTP/1.1 200\r\n\r\n"), 5)
 	f.Add([]byte("HTTP/1.0 200 OK\r\nA: "+strings.Repeat("a", 5000)+"\r\n\r\n"+strings.Repeat("b", 20000)), 4096)
 	f.Fuzz(func(t *testing.T, data []byte, piece int) {
@@ -301,6 +302,9 @@
 		}
 		piece = max(1, piece)
 		want, wantErr := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(data), readBufferSize), nil)
+		if wantErr == nil {
+			wantErr = CheckHead(want)
+		}
 		p := NewPool("", Options{})
 		c := &conn{source: headSource{pool: p, source: &piecesReader{data, piece}}}
 		c.reader = bufio.NewReaderSize(&c.source, readBufferSize)
--- a/internal/httponce/send.go
+++ b/internal/httponce/send.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/springweir/springweir/internal/h1"
 )
 
 // Send sends the request at most once over a transport made by NewTransport. The
@@ -28,6 +30,10 @@
 	if err != nil {
 		return nil, &Error{Sent: s.seal(), Cause: err}
 	}
+	if err := h1.CheckHead(resp); err != nil {
+		(&Response{Response: resp, state: s}).Abort()
+		return nil, &Error{Sent: true, Cause: err}
+	}
 	return &Response{Response: resp, state: s}, nil
 }
 
