h1: a response with a malformed field name is no response

Seen by callers: an endpoint in trouble sent a head in which the name of a field held a blank. The caller got a 200, with a body that was not the endpoint's: "Transfer-Encoding : chunked" and "Content-Length : 4" are no frame, so that the chunks themselves, or more than the length, were passed on as the body. The line itself was dropped by net/http's server. The same happened behind a 103 with such a name, and with a line that begins with a blank or a tab, which is added to the value of the field before it: the seal that the caller got was not the endpoint's.

Cause: net/http's reader of heads accepts blanks in names, and joins folded lines. Control bytes, an empty name and all other invalid bytes were refused before (0x00, 0x01, 0x7f, CR, a tab before the colon; h1.TestMalformedFieldNames tries every byte at three places).

Change: h1.CheckHead refuses a name with a blank, wherever responses are read, now also of other VMs over net/http (LimitBodies). internal/h1 sees the bytes of the head, and refuses one with a folded line, as RFC 9112 (5.2) allows. Readers that use net/http's client (services, engines, zones of the own API) still join folded lines.

--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -44,3 +44,8 @@
 func TestStatusBelow100IsNoRefusal(t *testing.T) {
 	checkOrderUnknown(t, "HTTP/1.1 000 In Trouble\r\n")
 }
+
+// Guards against the same of a head with a malformed field name.
+func TestMalformedFieldNamesAreNoRefusal(t *testing.T) {
+	checkOrderUnknown(t, "HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding : chunked\r\n")
+}
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/springweir/springweir/failure"
 )
@@ -12,6 +14,11 @@
 	if r.StatusCode < http.StatusContinue {
 		return &malformedHeadError{text: "malformed HTTP status code " + r.Status}
 	}
+	for name := range r.Header {
+		if strings.Contains(name, " ") { // of the bytes that are invalid in a name, net/http accepts only this one
+			return &malformedHeadError{text: "malformed name of a header field: " + strconv.Quote(name)}
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/h1/head_test.go
@@ -0,0 +1,59 @@
+package h1
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards against a head whose names hold a byte that is invalid in a name, wherever it stands, and at whatever byte the head
+// arrives in two parts.
+func TestMalformedFieldNames(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	respond := func(head string, cut int) *server {
+		return serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, head[:cut]) // an error shows in the response
+				_, _ = io.WriteString(c, head[cut:])
+			}
+		})
+	}
+	for b := range 256 {
+		if b == ':' || b == '\n' {
+			continue // the end of the name, and of the line
+		}
+		for _, name := range []string{"%cX-Field", "X-%cField", "X-Field%c"} {
+			field := strings.Replace(name, "%c", string([]byte{byte(b)}), 1)
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nServer: s\r\n%s: 1\r\nContent-Length: 3\r\n\r\nabc", field)
+			s := respond(head, strings.Index(head, "X-"))
+			p := newPool(t, s, Options{})
+			body, err := roundTrip(t, p, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			if valid := strings.IndexByte(token, byte(b)) >= 0; valid != (err == nil) || valid && body != "abc" {
+				t.Errorf("%q: got %q, %v", field, body, err)
+			}
+			p.Close()
+			s.Close()
+		}
+	}
+}
+
+// Guards against the same of other VMs, which generated clients call over net/http.
+func TestMalformedHeadsOfVMs(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nX-Field : 1\r\n", "HTTP/1.1 000 In Trouble\r\n"} {
+		s := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, _, err := readRequest(r); err == nil {
+				_, _ = io.WriteString(c, head+"Content-Length: 3\r\n\r\nabc") // an error shows in the response
+			}
+		})
+		client := LimitBodies(&http.Client{Transport: &http.Transport{}}, MaxFailureBody)
+		if resp, err := client.Get("http://" + s.Addr().String()); err == nil {
+			resp.Body.Close()
+			t.Errorf("%q gave status %d", head, resp.StatusCode)
+		}
+		client.CloseIdleConnections()
+	}
+}
--- a/internal/h1/limits.go
+++ b/internal/h1/limits.go
@@ -115,11 +115,14 @@
 	head, line        int
 	// over is set once the head is over a limit. net/http may report an incomplete line instead.
 	over *LimitError
+	// folded is set once a line of the head begins with a blank or a tab. net/http takes it for a part of the value of the
+	// field before, which it need not be: RFC 9112 (5.2) allows to reject such a response.
+	folded bool
 }
 
 // begin starts a new head, whose first bytes may be buffered already.
 func (s *headSource) begin(buffered *bufio.Reader) error {
-	s.reading, s.complete, s.head, s.line = true, false, 0, 0
+	s.reading, s.complete, s.folded, s.head, s.line = true, false, false, 0, 0
 	b, err := buffered.Peek(buffered.Buffered())
 	if err != nil || len(b) == 0 || s.scan(b) {
 		return err
@@ -127,11 +130,14 @@
 	return s.over
 }
 
-// end ends the head. It returns err, the error of reading the head, or that of the exceeded limit.
+// end ends the head. It returns err, the error of reading the head, or that of the exceeded limit or the folded line.
 func (s *headSource) end(err error) error {
 	s.reading = false
-	if s.over != nil {
+	switch {
+	case s.over != nil:
 		return s.over
+	case err == nil && s.folded:
+		return &malformedHeadError{text: "a line of the head begins with a blank"}
 	}
 	return err
 }
@@ -155,11 +161,14 @@
 	return n, err
 }
 
-// scan counts bytes of a head, which may be followed by others. It reports whether they are within the limits.
+// scan reads bytes of a head, which may be followed by others. It reports whether they are within the limits.
 func (s *headSource) scan(b []byte) bool {
 	limit := s.pool.opts.Limits.Line
 	s.head += len(b)
 	for len(b) > 0 && !s.complete {
+		if s.line == 0 && (b[0] == ' ' || b[0] == '\t') {
+			s.folded = true
+		}
 		end := bytes.IndexByte(b, '\n')
 		n := end + 1
 		if end < 0 {
--- a/internal/h1/transport.go
+++ b/internal/h1/transport.go
@@ -6,9 +6,10 @@
 	"net/http"
 )
 
-// LimitBodies returns a client like c whose responses are bounded: reading more than limit bytes of a body, or of
-// one that is no success more than MaxFailureBody, returns *LimitError. The transport of c bounds the heads. A response with
-// neither a length nor chunks, whose end net/http does not tell from a reset while it writes a request, is *UnframedError.
+// LimitBodies returns a client of other VMs like c whose responses are bounded: reading more than limit bytes of a body, or
+// of one that is no success more than MaxFailureBody, returns *LimitError. The transport of c bounds the heads. CheckHead
+// applies. A response with neither a length nor chunks, whose end net/http does not tell from a reset while it writes a
+// request, fails with *UnframedError.
 func LimitBodies(c *http.Client, limit int64) *http.Client {
 	limited := *c
 	limited.Transport = &limitedTransport{base: c.Transport, limit: limit}
@@ -26,9 +27,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if !IsFramed(response) {
+	if err := checkPeerResponse(response); err != nil {
 		_ = response.Body.Close() // closes the connection
-		return nil, &UnframedError{}
+		return nil, err
 	}
 	limit := t.limit
 	if response.StatusCode != http.StatusOK {
@@ -38,6 +39,17 @@
 	return response, nil
 }
 
+// checkPeerResponse returns why a response of another VM is none, or nil.
+func checkPeerResponse(r *http.Response) error {
+	if err := CheckHead(r); err != nil {
+		return err
+	}
+	if !IsFramed(r) {
+		return &UnframedError{}
+	}
+	return nil
+}
+
 // CloseIdleConnections is called by http.Client.
 func (t *limitedTransport) CloseIdleConnections() {
 	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
--- a/service/malformed_test.go
+++ b/service/malformed_test.go
@@ -51,3 +51,13 @@
 		checkNoResponse(t, "HTTP/1.1 "+status+" In Trouble\r\nContent-Length: 3\r\n\r\nabc")
 	}
 }
+
+// Guards against a response that is passed on although a field name of its head is malformed, with a body that is framed
+// otherwise than the endpoint meant.
+func TestMalformedFieldNamesAreNoResponse(t *testing.T) {
+	for _, line := range []string{
+		"X Field: 1", "X-Field : 1", "X-Field\t: 1", "X-\x00Field: 1", "X-\x01Field: 1", "X-\x7fField: 1", ": 1", "Transfer-Encoding : chunked", "Content-Length : 4",
+	} {
+		checkNoResponse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 3\r\n\r\nabc")
+	}
+}
