relay: late in a planned stop, deadlines decide what is passed on

Seen by callers: in a planned stop of one VM, in calm, requests whose body was whole late in the grace period were passed on to an endpoint, and cut with no answer at its end, among them requests that may not be repeated.

Cause: just before an attempt is sent, the relay compares what is left of the grace period with the predicted latency of the attempt. That is a mean: of requests that mostly take 30 ms and one time in five 1.5 s, all were sent until 30 ms before the end.

Change: once the listener is closed, a request of which nothing has run is passed on only if it has a deadline before the end, by which it gets its answer or a 504. Others are refused as not run (503, stopping) and may be sent to another VM at once. The time for that answer to be written, 200 ms, is taken off the end. Requests of which a part may have run are tried to the end as before, and so is everything while the balancer still sends connections.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,7 +250,7 @@
 	})
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard, Origins: g.origins,
-		Router: g.state, Endpoints: g.directory.Snapshot, ShutdownAt: g.state.shutdownTime, Meter: g.meter(),
+		Router: g.state, Endpoints: g.directory.Snapshot, ShutdownAt: g.state.shutdownTime, LateInShutdown: g.state.callersGone.Load, Meter: g.meter(),
 		MaxEventBytes: s.EventLimit, Memory: g.responseMemory,
 	})
 	return g
@@ -469,18 +469,24 @@
 	port.Retry(ctx, "datagrams", func() (struct{}, error) { return struct{}{}, g.exchange.Run(ctx) })
 }
 
-// stopMargin is the part of the grace period reserved for the process's exit.
-const stopMargin = time.Second
+const (
+	// stopMargin is the part of the grace period reserved for the process's exit.
+	stopMargin = time.Second
+	// answerMargin is the time before it in which requests that have reached their deadline get their answer.
+	answerMargin = 200 * time.Millisecond
+)
 
 // stop shuts down the caller server without interrupting responses. The readiness check fails
 // first, and all requests are still served while the balancer notices; then the listener closes and
-// the open requests complete, and after them those of other VMs.
+// the open requests complete, with those whose bodies still come if their deadline is before the end, and
+// after them those of other VMs.
 func (g *Gateway) stop(callerServer, peerServer *http.Server) {
 	start := time.Now()
-	g.state.stop(clock.Now().Add(g.settings.Grace - stopMargin))
+	g.state.stop(clock.Now().Add(g.settings.Grace - stopMargin - answerMargin))
 	g.exchange.Leave()
 	klog.InfoS("gateway: stopping", "grace", g.settings.Grace)
 	time.Sleep(min(g.settings.BalancerDelay, g.settings.Grace/2))
+	g.state.callersGone.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.settings.Grace-stopMargin))
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -21,8 +21,11 @@
 	endpointsListed atomic.Bool
 	// callersRefused is set while the callers' port is closed because its listener failed.
 	callersRefused atomic.Bool
-	// shutdownAt is set when a planned stop begins, to the time at which open requests are cut off.
+	// shutdownAt is set when a planned stop begins, to the time by which requests must have their answer. Open ones are
+	// cut off soon after it.
 	shutdownAt atomic.Pointer[time.Time]
+	// callersGone is set in a planned stop once callers reach other VMs with new connections.
+	callersGone atomic.Bool
 	// freshness tracks the age of config; revoke limits that age where API keys are checked.
 	freshness *freshness.Tracker
 	revoke    revokeBudget
@@ -38,12 +41,12 @@
 	configLostAt atomic.Int64
 }
 
-// stop marks the start of a planned stop, which cuts off open requests at end.
+// stop marks the start of a planned stop, which cuts off open requests soon after end.
 func (s *state) stop(end time.Time) { s.shutdownAt.Store(&end) }
 
 func (s *state) isStopping() bool { return s.shutdownAt.Load() != nil }
 
-// shutdownTime returns when a planned stop cuts off open requests, or zero.
+// shutdownTime returns by when requests must have their answer because of a planned stop, or zero.
 func (s *state) shutdownTime() time.Time {
 	if end := s.shutdownAt.Load(); end != nil {
 		return *end
--- a/relay/config.go
+++ b/relay/config.go
@@ -24,9 +24,13 @@
 	Origins Origins
 	// Endpoints returns the latest snapshot of the endpoints.
 	Endpoints func() *directory.Snapshot
-	// ShutdownAt returns when this VM's planned shutdown closes requests that are still open. A
-	// zero time, or a nil function, means that no shutdown is planned.
+	// ShutdownAt returns by when requests must have their answer because of this VM's planned shutdown,
+	// which closes those that are still open soon after. A zero time, or a nil function, means that no
+	// shutdown is planned.
 	ShutdownAt func() time.Time
+	// LateInShutdown reports whether the planned shutdown has come so far that callers reach other VMs with new
+	// connections. Nil means never.
+	LateInShutdown func() bool
 	// Memory bounds the bytes of responses that are held at a time (default: that of a VM of memory.DefaultVM).
 	Memory *memory.Budget
 	// MaxResponseBytes bounds a response that is not a stream, in bytes (default 16 MiB).
@@ -80,6 +84,9 @@
 	if cfg.ShutdownAt == nil {
 		cfg.ShutdownAt = func() time.Time { return time.Time{} }
 	}
+	if cfg.LateInShutdown == nil {
+		cfg.LateInShutdown = func() bool { return false }
+	}
 	if cfg.MaxResponseBytes == 0 {
 		cfg.MaxResponseBytes = DefaultMaxResponseBytes
 	}
--- a/relay/recheck.go
+++ b/relay/recheck.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -190,16 +191,19 @@
 
 // shutdownFailure returns a failure if this VM's planned shutdown would cut off the response of an
 // attempt, so that the caller retries on another VM. It returns nil otherwise.
+//
+// Late in the shutdown, a request of which nothing has run is passed on only if it has a deadline before the end,
+// by which it has an answer: one that takes longer than expected would be cut, and is lost if it may not be repeated.
 func (j *job) shutdownFailure(plan Plan) *failure.Request {
 	shutdownAt := j.relay.cfg.ShutdownAt()
 	if shutdownAt.IsZero() {
 		return nil
 	}
-	expected := plan.ExpectedLatency
-	if expected == 0 {
-		expected = j.req.Route.Objective
+	inTime := clock.Until(shutdownAt) > cmp.Or(plan.ExpectedLatency, j.req.Route.Objective)
+	if j.ran == failure.NotRun && j.relay.cfg.LateInShutdown() {
+		inTime = !j.req.Deadline.IsZero() && j.req.Deadline.Before(shutdownAt)
 	}
-	if clock.Until(shutdownAt) > expected {
+	if inTime {
 		return nil
 	}
 	return &failure.Request{Code: failure.Stopping, Ran: failure.NotRun, RetryAfter: replanRetryAfter, Message: "this VM stops before an answer could come"}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -332,11 +332,12 @@
 	software map[string]string
 	// origin is the ID of the request that began the stream which the request takes up.
 	origin string
-	// guard, router, origins and shutdownAt are passed to Config.
+	// guard, router, origins, shutdownAt and late are passed to Config.
 	guard      Guard
 	router     Router
 	origins    Origins
 	shutdownAt func() time.Time
+	late       func() bool
 	// states, if set, receives what each plan was made for.
 	states *[]AttemptState
 }
@@ -400,7 +401,7 @@
 				}
 				return otherBudget
 			},
-			Guard: s.guard, Router: s.router, Endpoints: planner.registry.Snapshot, ShutdownAt: s.shutdownAt, Origins: s.origins,
+			Guard: s.guard, Router: s.router, Endpoints: planner.registry.Snapshot, ShutdownAt: s.shutdownAt, LateInShutdown: s.late, Origins: s.origins,
 		})
 		req := &Request{ID: "r", Route: &s.route, Service: "s", Received: time.Now(), LastEventID: s.lastEventID, Origin: s.origin}
 		if s.timeout > 0 {
