forward: responses of services that are being read share a limit

Seen by callers of systems like this one: an endpoint sent bytes without end, and the machine that had called it kept them all and ran out of memory.

The gateway has a budget for this; springweir-entry had none.

Change: the bodies of services' responses that are being read take memory from a budget that all upstreams of an entry share, of the size that gateways use (24 MiB). One for which there is no room fails (endpoint-failed, outcome unknown, counted as springweir_response_limit_total{part="bodies"}), and its connection is closed. The price: of several long responses that are read at the same moment, one may fail. gateway.readUnknown became memory.Reservation.ReadAll, which both use; its tests call that and ask the same.

Not changed: the states that springweir-entry polls of engines, each up to 16 MiB, are not counted together.

--- a/entry/upstreams.go
+++ b/entry/upstreams.go
@@ -12,6 +12,7 @@
 	"github.com/springweir/springweir/engine"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/forward"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/retry"
 	"github.com/springweir/springweir/routing"
 	"github.com/springweir/springweir/settings"
@@ -56,6 +57,8 @@
 	common *common
 	limits *admission.Limits
 	claims *claim.Store
+	// responses bounds the responses of all services that are being read.
+	responses *memory.Budget
 
 	mu     sync.RWMutex
 	byName map[string]*upstream
@@ -68,7 +71,8 @@
 }
 
 func newUpstreams(c *common, limits *admission.Limits, claims *claim.Store) *upstreams {
-	return &upstreams{common: c, limits: limits, claims: claims, byName: map[string]*upstream{}, retired: map[*upstream]bool{}}
+	responses := memory.NewBudget(memory.LimitsOf(memory.DefaultVM).Responses, nil)
+	return &upstreams{common: c, limits: limits, claims: claims, responses: responses, byName: map[string]*upstream{}, retired: map[*upstream]bool{}}
 }
 
 // poolUpstream and serviceUpstream return the names of upstreams.
@@ -170,6 +174,7 @@
 		MaxAttempts:       set.Retry.Attempts,
 		FirstFrameTimeout: set.FirstToken,
 		MaxFrameGap:       set.BetweenTokens,
+		Memory:            u.responses,
 	})}
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/springweir/springweir/claim"
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
+	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/service"
 )
 
@@ -270,7 +271,14 @@
 // readResponse reads the complete body before anything is returned, so that a caller never gets a
 // partial response.
 func (f *Forwarder) readResponse(resp *service.Response) ([]byte, *failure.Request) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, f.cfg.MaxResponseBytes+1))
+	held := f.cfg.Memory.Open()
+	defer held.Release()
+	body, err := held.ReadAll(resp.Body, f.cfg.MaxResponseBytes)
+	var full *memory.FullError
+	if errors.As(err, &full) {
+		err = h1.NewLimitError(h1.Bodies, full.Total)
+		return nil, &failure.Request{Code: failure.EndpointFailed, Ran: failure.Unknown, Message: "this VM has no memory for the rest of the answer", Cause: err}
+	}
 	if err != nil {
 		return nil, bodyFailure(err)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/springweir/springweir/claim"
+	"github.com/springweir/springweir/memory"
 	"github.com/springweir/springweir/retry"
 )
 
@@ -28,6 +29,9 @@
 	PrefillTimeout time.Duration
 	// MaxResponseBytes bounds the body of a service's response.
 	MaxResponseBytes int64
+	// Memory bounds the bodies of such responses that are being read at a time, together with those of others that
+	// share it (default: that of a VM of memory.DefaultVM).
+	Memory *memory.Budget
 }
 
 // Defaults of Config.
@@ -79,6 +83,9 @@
 	setDefault(&c.MaxFrameGap, DefaultMaxFrameGap)
 	setDefault(&c.PrefillTimeout, DefaultPrefillTimeout)
 	setDefault(&c.MaxResponseBytes, DefaultMaxResponseBytes)
+	if c.Memory == nil {
+		c.Memory = memory.NewBudget(memory.LimitsOf(memory.DefaultVM).Responses, nil)
+	}
 	return c
 }
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -18,8 +17,7 @@
 	if limit > 0 && r.ContentLength > limit {
 		return nil, tooLarge(nil)
 	}
-	overhead := memory.RequestOverhead + headBytes(r)
-	if failed := held.Admit(overhead + max(0, r.ContentLength)); failed != nil {
+	if failed := held.Admit(memory.RequestOverhead + headBytes(r) + max(0, r.ContentLength)); failed != nil {
 		return nil, failed
 	}
 	if h.intake != nil {
@@ -32,7 +30,11 @@
 	bounded := &stallReader{body: source, deadline: stallDeadline{stall: h.stall, set: http.NewResponseController(w).SetReadDeadline}}
 	defer bounded.deadline.remove()
 	if r.ContentLength < 0 {
-		return readUnknown(bounded, limit, held, overhead)
+		body, err := held.ReadAll(bounded, limit)
+		if err != nil {
+			return nil, readFailure(err)
+		}
+		return body, nil
 	}
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(bounded, body); err != nil {
@@ -52,42 +54,15 @@
 	return int64(n)
 }
 
-// minUnknownBody is the size in bytes of the first buffer for a body whose length is not known.
-const minUnknownBody = 4 << 10
-
-// readUnknown reads a body whose length is not known; it is at most limit unless that is zero. Its buffer is doubled
-// whenever it is full.
-func readUnknown(source io.Reader, limit int64, held *memory.Reservation, overhead int64) ([]byte, *failure.Request) {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			size := max(minUnknownBody, 2*cap(body))
-			if limit > 0 {
-				size = min(size, int(limit)+1) // the last byte is for the end of the body
-			}
-			if failed := held.Admit(overhead + int64(size+cap(body))); failed != nil {
-				return nil, failed
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := source.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			body = bytes.Clone(body)
-			return body, held.Admit(overhead + int64(len(body)))
-		case err != nil:
-			return nil, readFailure(err)
-		}
-	}
-}
-
 // readFailure returns the failure of a request whose body could not be read.
 func readFailure(err error) *failure.Request {
 	var large *http.MaxBytesError
+	var full *memory.FullError
 	switch {
 	case errors.As(err, &large):
 		return tooLarge(err)
+	case errors.As(err, &full):
+		return full.Refusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &failure.Request{Code: failure.CallerGone, Ran: failure.NotRun, Message: "nothing of the request's body came for too long", Cause: err}
 	}
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -20,7 +20,7 @@
 // Bodies must arrive unchanged whether their length is known or not, and what is counted must be what is held.
 func TestReadBody(t *testing.T) {
 	const limit = 1 << 20
-	for _, size := range []int{0, 1, minUnknownBody, minUnknownBody + 1, 100_000, limit, limit + 1} {
+	for _, size := range []int{0, 1, 4 << 10, 4<<10 + 1, 100_000, limit, limit + 1} {
 		for _, length := range []int64{-1, int64(size)} {
 			body := bytes.Repeat([]byte("abcdefg"), size/7+1)[:size]
 			r := httptest.NewRequest(http.MethodPost, "/x", io.MultiReader(bytes.NewReader(body)))
@@ -51,10 +51,13 @@
 // A body of the limit whose length is not known must not be refused where twice its size is free.
 func TestBodyOfUnknownLengthTakesTwiceItsSize(t *testing.T) {
 	const limit = 4 << 20
-	b := memory.NewBudget(12<<20, nil) // a quarter is kept free
-	body, failed := readUnknown(bytes.NewReader(make([]byte, limit)), limit, b.Open(), memory.RequestOverhead)
-	if failed != nil || len(body) != limit {
-		t.Errorf("%d bytes read, %v", len(body), failed)
+	held, err := memory.NewBudget(12<<20, nil).Reserve(memory.RequestOverhead) // a quarter is kept free
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := held.ReadAll(bytes.NewReader(make([]byte, limit)), limit)
+	if err != nil || len(body) != limit {
+		t.Errorf("%d bytes read, %v", len(body), err)
 	}
 }
 
