h1: errors of malformed heads are short; one name for late in a shutdown

CheckHead bounds its error text itself, since readers over net/http log it without headError; TestErrorsOfMalformedHeadsAreShort fails without that. The gateway's state calls the phase as relay.Config does.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,7 +250,7 @@
 	})
 	g.relay = relay.New(relay.Config{
 		Planner: g.planner, Upstream: p.Upstream, Budget: g.budgets.forService, Guard: g.guard, Origins: g.origins,
-		Router: g.state, Endpoints: g.directory.Snapshot, ShutdownAt: g.state.shutdownTime, LateInShutdown: g.state.callersGone.Load, Meter: g.meter(),
+		Router: g.state, Endpoints: g.directory.Snapshot, ShutdownAt: g.state.shutdownTime, LateInShutdown: g.state.lateInShutdown.Load, Meter: g.meter(),
 		MaxEventBytes: s.EventLimit, Memory: g.responseMemory,
 	})
 	return g
@@ -486,7 +486,7 @@
 	g.exchange.Leave()
 	klog.InfoS("gateway: stopping", "grace", g.settings.Grace)
 	time.Sleep(min(g.settings.BalancerDelay, g.settings.Grace/2))
-	g.state.callersGone.Store(true)
+	g.state.lateInShutdown.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.settings.Grace-stopMargin))
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -24,8 +24,8 @@
 	// shutdownAt is set when a planned stop begins, to the time by which requests must have their answer. Open ones are
 	// cut off soon after it.
 	shutdownAt atomic.Pointer[time.Time]
-	// callersGone is set in a planned stop once callers reach other VMs with new connections.
-	callersGone atomic.Bool
+	// lateInShutdown is set in a planned stop once callers reach other VMs with new connections.
+	lateInShutdown atomic.Bool
 	// freshness tracks the age of config; revoke limits that age where API keys are checked.
 	freshness *freshness.Tracker
 	revoke    revokeBudget
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -220,12 +220,12 @@
 		return nil, err
 	}
 	resp, err := http.ReadResponse(ex.conn.reader, &http.Request{Method: method})
-	if err = ex.conn.source.end(err); err == nil {
-		err = CheckHead(resp)
-	}
-	if err != nil {
+	if err = ex.conn.source.end(err); err != nil {
 		return nil, headError(err)
 	}
+	if err := CheckHead(resp); err != nil {
+		return nil, err
+	}
 	unframed := !IsFramed(resp)
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: unframed,
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -12,11 +12,11 @@
 // calls it before it looks at the head.
 func CheckHead(r *http.Response) error {
 	if r.StatusCode < http.StatusContinue {
-		return &malformedHeadError{text: "malformed HTTP status code " + r.Status}
+		return headError(&malformedHeadError{text: "malformed HTTP status code " + r.Status})
 	}
 	for name := range r.Header {
 		if strings.Contains(name, " ") { // of the bytes that are invalid in a name, net/http accepts only this one
-			return &malformedHeadError{text: "malformed name of a header field: " + strconv.Quote(name)}
+			return headError(&malformedHeadError{text: "malformed name of a header field: " + strconv.Quote(name)})
 		}
 	}
 	return nil
--- a/internal/h1/head_test.go
+++ b/internal/h1/head_test.go
@@ -41,7 +41,17 @@
 	}
 }
 
-// Guards against the same of other VMs, which generated clients call over net/http.
+// Guards against an error that quotes a head of 64 KiB in a log line.
+func TestErrorsOfMalformedHeadsAreShort(t *testing.T) {
+	long := strings.Repeat("a", 60<<10)
+	for _, r := range []*http.Response{{StatusCode: 0, Status: "000 " + long}, {StatusCode: 200, Header: http.Header{"X " + long: {"1"}}}} {
+		if err := CheckHead(r); err == nil || len(err.Error()) > 2*maxErrorText {
+			t.Errorf("status %d: %.300v", r.StatusCode, err)
+		}
+	}
+}
+
+// Guards against malformed heads of other VMs, which generated clients call over net/http.
 func TestMalformedHeadsOfVMs(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 200 OK\r\nX-Field : 1\r\n", "HTTP/1.1 000 In Trouble\r\n"} {
 		s := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
