--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -1,39 +1,22 @@
 package engine
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
+
+	"github.com/springweir/springweir/internal/loopback"
 )
 
 // checkOrderUnknown fails the test if a response with the head and a refusal as its body says that an order did not run.
 func checkOrderUnknown(t *testing.T, head string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			const refusal = `{"reason":"engine-busy","message":"another order runs","not_run":true}`
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal) // an error shows in the response
-		}
-	}()
-	client := NewClient(Options{Address: l.Addr().String()})
+	const refusal = `{"reason":"engine-busy","message":"another order runs","not_run":true}`
+	address := loopback.Answer(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal))
+	client := NewClient(Options{Address: address})
 	defer client.Close()
-	_, err = client.Order(t.Context(), Order{ID: "o1", Fence: 1, Incarnation: "i1"}, time.Now().Add(time.Second))
+	_, err := client.Order(t.Context(), Order{ID: "o1", Fence: 1, Incarnation: "i1"}, time.Now().Add(time.Second))
 	var unreachable *UnreachableError
 	if !errors.As(err, &unreachable) || !unreachable.Sent {
 		t.Errorf("%q gave %v", head, err)
--- a/internal/loopback/port.go
+++ b/internal/loopback/port.go
@@ -1,4 +1,4 @@
-// Package loopback allocates ports of the loopback interface to tests and their processes.
+// Package loopback allocates ports of the loopback interface to tests and their processes, and answers calls of tests on them.
 package loopback
 
 import (
--- a/service/malformed_test.go
+++ b/service/malformed_test.go
@@ -1,44 +1,20 @@
 package service
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/loopback"
 )
 
-// answerWith returns the response of an endpoint that answers a call with bytes.
-func answerWith(t *testing.T, answer string) (*Response, error) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(c, answer) // an error shows in the response
-		}
-	}()
-	client := NewClient(Options{Address: l.Addr().String()})
-	defer client.Close()
-	return client.Do(t.Context(), Call{Method: http.MethodPost, Path: "/x", Attempt: "a.1", Body: []byte("body")})
-}
-
-// checkNoResponse fails the test if a call got a response, or may not have run according to its failure.
+// checkNoResponse fails the test unless a call that is answered with bytes fails, with an unknown outcome.
 func checkNoResponse(t *testing.T, answer string) {
 	t.Helper()
-	response, err := answerWith(t, answer)
+	client := NewClient(Options{Address: loopback.Answer(t, answer)})
+	defer client.Close()
+	response, err := client.Do(t.Context(), Call{Method: http.MethodPost, Path: "/x", Attempt: "a.1", Body: []byte("body")})
 	var failed *failure.Request
 	if !errors.As(err, &failed) || failed.Code != failure.EndpointBroke || failed.Ran != failure.Unknown {
 		t.Errorf("%q gave %+v, %v", answer, response, err)
