--- a/internal/h1/head_test.go
+++ b/internal/h1/head_test.go
@@ -10,8 +10,8 @@
 	"testing"
 )
 
-// Guards against a head whose names hold a byte that is invalid in a name, wherever it stands, and at whatever byte the head
-// arrives in two parts.
+// Guards against a head with a byte in a field name that is invalid there, at its begin, within it or at its end. The head
+// arrives in two parts, which are divided at that field.
 func TestMalformedFieldNames(t *testing.T) {
 	const token = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 	respond := func(head string, cut int) *server {
