platform/soak: VMs that are cut off from all endpoints, beside troubles of the others

Real processes, each with ways of its own to the endpoints and to the other VMs. New connections are refused or hang (the queue of the listener is full), open ones are reset, silent or live on.

--- a/soak.mk
+++ b/soak.mk
@@ -1,5 +1,5 @@
 # Soak tests under faults; included by the root Makefile.
-.PHONY: soak soak-recovery soak-config soak-drills soak-parts soak-provoked soak-versions
+.PHONY: soak soak-recovery soak-config soak-cut-off soak-drills soak-parts soak-provoked soak-versions
 SEEDS ?= 1-50
 
 soak: ## run real gateways under faults for the seeds A-B, about 25 s each; VMS: the number of gateways
@@ -22,3 +22,6 @@
 
 soak-recovery: ## kill all gateways at once, beside what may keep a start from serving, for the seeds A-B; VMS: the number of gateways
 	SPRINGWEIR_SOAK_RECOVERY=$(SEEDS) SPRINGWEIR_SOAK_VMS=$(VMS) go test ./platform/soak -run TestSoakRecovery -count=1 -v -timeout 2h
+
+soak-cut-off: ## cut gateways off from all endpoints, beside troubles of the others, for the seeds A-B
+	SPRINGWEIR_SOAK_CUT_OFF=$(SEEDS) go test ./platform/soak -run TestCutOffVMsAskOthersThatHelp -count=1 -v -timeout 3h
