reach: log why no other VM reached an endpoint

A VM that is cut off from an endpoint refused requests without a line that says whom it had asked, and whom not and why. It logs now how many of the VMs it asked, and how many it left out as silent, avoided or impaired, and each VM that it leaves out for a while.

VMs that are silent are listed now, and left out as before.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -34,7 +34,7 @@
 		Limits: hopLimits(g.settings.Responses),
 	})
 	g.reach = reach.NewClient(reach.Config{
-		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.responsiveVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
+		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.otherVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
 		Hop: g.hopClient, Down: func(e *directory.Endpoint) bool { return g.planner.IsDown(e) },
 	})
 	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, RequestID: p.RequestID, Memory: g.requestMemory})
@@ -101,14 +101,13 @@
 	return g.reach.RefusedByAll(ctx, e)
 }
 
-// responsiveVMs returns the other VMs that are responsive.
-func (g *Gateway) responsiveVMs() []reach.VM {
+// otherVMs returns the other VMs.
+func (g *Gateway) otherVMs() []reach.VM {
 	addresses := *g.peerAddresses.Load()
-	live := g.exchange.Membership().Live
-	vms := make([]reach.VM, 0, len(live))
-	for _, m := range live {
+	vms := make([]reach.VM, 0, len(addresses))
+	for _, m := range g.exchange.Registered() {
 		if address, known := addresses[m.Name]; known {
-			vms = append(vms, reach.VM{Peer: hop.Peer{Name: m.Name, Address: address}, Zone: m.Zone})
+			vms = append(vms, reach.VM{Peer: hop.Peer{Name: m.Name, Address: address}, Zone: m.Zone, Silent: m.Silent})
 		}
 	}
 	return vms
--- a/loadshare/membership.go
+++ b/loadshare/membership.go
@@ -45,6 +45,30 @@
 	InSilentZones int
 }
 
+// Registered is a VM that is registered.
+type Registered struct {
+	Member
+	// Silent is set if the VM is unresponsive.
+	Silent bool
+}
+
+// Registered returns all registered VMs, this one included.
+func (x *Exchange) Registered() []Registered {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.region.registered(clock.Now())
+}
+
+func (r *region) registered(now time.Time) []Registered {
+	list := make([]Registered, len(r.everyone))
+	unresponsive := r.unresponsiveFunc(now)
+	allResponsive := r.allReportedResponsive(now)
+	for i, m := range r.everyone {
+		list[i] = Registered{Member: m, Silent: !allResponsive && m.Name != r.self.Name && unresponsive(Peer{Name: m.Name, Zone: m.Zone})}
+	}
+	return list
+}
+
 // Membership returns the current membership.
 func (x *Exchange) Membership() Membership {
 	x.mu.Lock()
--- a/reach/client.go
+++ b/reach/client.go
@@ -59,7 +59,7 @@
 	Zone   string
 	Direct Direct
 	Hop    Hop
-	// VMs returns the other VMs that are responsive.
+	// VMs returns the other VMs.
 	VMs func() []VM
 	// Endpoints returns the latest snapshot of the endpoints.
 	Endpoints func() *directory.Snapshot
@@ -160,11 +160,12 @@
 		return nil, notReached, nil
 	}
 	var all verdicts
-	start := clock.Now()
+	start, asked := clock.Now(), 0
 	for _, vm := range c.choose(e) {
 		if all.answered() && clock.Since(start) >= inquiryLimit {
 			break
 		}
+		asked++
 		response, err := c.cfg.Hop.Do(ctx, vm.Peer, e, out)
 		v := c.judge(ctx, vm, e, err)
 		if !v.final() {
@@ -177,12 +178,23 @@
 	}
 	v := all.sum()
 	countHop(v)
+	c.logUnhelped(c.cfg.RequestID(out.Header), e, v, asked)
 	if v == notReached {
 		c.recordUnreached(e)
 	}
 	return nil, v, nil
 }
 
+// logUnhelped logs that no other VM reached an endpoint for a request, and why VMs were not asked.
+func (c *Client) logUnhelped(request string, e *directory.Endpoint, v verdict, asked int) {
+	vms := c.cfg.VMs()
+	c.mu.Lock()
+	count := c.tracker.count(clock.Now(), e, vms)
+	c.mu.Unlock()
+	klog.InfoS("reach: no other VM reached the endpoint", "request", request, "endpoint", e.ID, "outcome", v, "asked", asked,
+		"vms", count.known, "silent", count.silent, "avoided", count.avoided, "impaired", count.impaired)
+}
+
 // exchangeError returns the error of a hop in the form of that of a direct exchange.
 func exchangeError(vm VM, err error) error {
 	var reported *hop.Error
@@ -218,7 +230,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Avoid(clock.Now(), vm.Name, e, ttl)
-	klog.V(1).InfoS("reach: VM not asked for a while", "vm", vm.Name, "reason", reason, "for", ttl)
+	level := klog.Level(0)
+	if e != nil {
+		level = 1 // one for each endpoint
+	}
+	klog.V(level).InfoS("reach: VM not asked for a while", "vm", vm.Name, "reason", reason, "forMS", ttl.Milliseconds())
 }
 
 func (c *Client) broken(e *directory.Endpoint) bool {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -41,6 +41,8 @@
 type VM struct {
 	hop.Peer
 	Zone string
+	// Silent is set if no datagrams of the VM arrive.
+	Silent bool
 }
 
 // path is the broken direct path to one incarnation of an endpoint.
@@ -189,7 +191,7 @@
 func (t *Tracker) Choose(now time.Time, e *directory.Endpoint, vms []VM, n int) []VM {
 	var groups [numGroups][]VM
 	for _, vm := range vms {
-		if now.Before(t.avoided[avoidanceOf(vm.Name, nil)]) || now.Before(t.avoided[avoidanceOf(vm.Name, e)]) {
+		if vm.Silent || t.isAvoided(now, vm, e) {
 			continue
 		}
 		g := t.groupOf(now, e, vm)
@@ -199,6 +201,33 @@
 	return append(chosen, interleave(n-len(chosen), groups[impairedVMs:])...)
 }
 
+// isAvoided reports whether a VM is not asked for an endpoint now.
+func (t *Tracker) isAvoided(now time.Time, vm VM, e *directory.Endpoint) bool {
+	return now.Before(t.avoided[avoidanceOf(vm.Name, nil)]) || now.Before(t.avoided[avoidanceOf(vm.Name, e)])
+}
+
+// candidates counts the VMs that may be asked for an endpoint, for the log.
+type candidates struct {
+	// known is the number of all. silent, avoided and impaired ones are counted once, in this order.
+	known, silent, avoided, impaired int
+}
+
+// count counts VMs by what keeps them from being asked for an endpoint.
+func (t *Tracker) count(now time.Time, e *directory.Endpoint, vms []VM) candidates {
+	c := candidates{known: len(vms)}
+	for _, vm := range vms {
+		switch {
+		case vm.Silent:
+			c.silent++
+		case t.isAvoided(now, vm, e):
+			c.avoided++
+		case t.isImpaired(now, vm.Name):
+			c.impaired++
+		}
+	}
+	return c
+}
+
 // interleave returns the first n elements of the lists, taken in turn.
 func interleave(n int, lists [][]VM) []VM {
 	var chosen []VM
