reach: ask VMs whose datagrams do not arrive, after the others

Callers of VMs that were cut off from all endpoints got 503 (endpoint-unreachable, not run) for as long as the datagrams between VMs were lost, though TCP between them worked and the other VMs served all.

Cause: a VM passed requests on only to those that it took for responsive, by their load datagrams, which says nothing of whether they serve HTTP. With none left it asked nobody ('outcome no-vm, asked 0, silent 5' in the log). Also a VM of a large region that has just started, before the first datagram of its collector.

Inquiries of whether an endpoint has crashed leave silent VMs out as before, so that they do not wait for VMs that have ended.

TestVMWithoutDatagramsHelps and TestSilentVMsAreAskedLast fail before.

--- a/reach/client.go
+++ b/reach/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 	Zone   string
 	Direct Direct
 	Hop    Hop
-	// VMs returns the other VMs.
+	// VMs returns the other VMs, in a slice of its own.
 	VMs func() []VM
 	// Endpoints returns the latest snapshot of the endpoints.
 	Endpoints func() *directory.Snapshot
@@ -161,7 +162,7 @@
 	}
 	var all verdicts
 	start, asked := clock.Now(), 0
-	for _, vm := range c.choose(e) {
+	for _, vm := range c.choose(e, c.cfg.VMs()) {
 		if all.answered() && clock.Since(start) >= inquiryLimit {
 			break
 		}
@@ -217,15 +218,29 @@
 	c.tracker.Avoid(clock.Now(), "", e, allUnreachedTTL)
 }
 
-// choose returns the VMs to ask for an endpoint, in random order within their groups.
-func (c *Client) choose(e *directory.Endpoint) []VM {
-	vms := c.cfg.VMs()
+// choose returns those of the VMs to ask for an endpoint, in random order within their groups. It changes the order of vms.
+func (c *Client) choose(e *directory.Endpoint, vms []VM) []VM {
 	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.tracker.Choose(clock.Now(), e, vms, maxHops)
 }
 
+// responsiveVMs returns the other VMs that are not silent.
+func (c *Client) responsiveVMs() []VM {
+	vms := c.cfg.VMs()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Now()
+	return slices.DeleteFunc(vms, func(vm VM) bool { return c.tracker.isSilent(now, vm) })
+}
+
+func (c *Client) recordAnswered(vm VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.SetAnswered(clock.Now(), vm.Name)
+}
+
 func (c *Client) avoid(vm VM, e *directory.Endpoint, ttl time.Duration, reason string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -27,6 +27,8 @@
 	allUnreachedTTL = 300 * time.Millisecond
 	// unresponsiveTTL is how long a VM that could not be reached itself is not asked.
 	unresponsiveTTL = time.Second
+	// answeredTTL is how long a VM that has answered is not taken for silent.
+	answeredTTL = loadshare.MemberTimeout
 	// busyTTL is how long a VM that passes on too many requests is not asked.
 	busyTTL = 100 * time.Millisecond
 	// stoppingTTL is how long a VM that is about to stop is not asked. By then it has stopped.
@@ -41,7 +43,7 @@
 type VM struct {
 	hop.Peer
 	Zone string
-	// Silent is set if no datagrams of the VM arrive.
+	// Silent is set if no datagrams of the VM arrive. It may serve requests nonetheless.
 	Silent bool
 }
 
@@ -66,11 +68,15 @@
 	impaired map[uint32]time.Time
 	// avoided holds what VMs are not asked for, and until when.
 	avoided map[avoidance]time.Time
+	// answered holds when VMs last answered, by name.
+	answered map[string]time.Time
 }
 
 // NewTracker returns the tracker of a VM in an availability zone. All paths are open.
 func NewTracker(zone string) *Tracker {
-	return &Tracker{zone: zone, broken: map[string]*path{}, impaired: map[uint32]time.Time{}, avoided: map[avoidance]time.Time{}}
+	return &Tracker{
+		zone: zone, broken: map[string]*path{}, impaired: map[uint32]time.Time{}, avoided: map[avoidance]time.Time{}, answered: map[string]time.Time{},
+	}
 }
 
 // Broken reports whether the direct path to an endpoint is broken.
@@ -158,6 +164,11 @@
 			delete(t.impaired, hash)
 		}
 	}
+	for vm, at := range t.answered {
+		if now.Sub(at) >= answeredTTL {
+			delete(t.answered, vm)
+		}
+	}
 }
 
 // ReceiveImpaired records a report of VMs that are impaired.
@@ -167,6 +178,15 @@
 	}
 }
 
+// SetAnswered records that a VM has answered this one.
+func (t *Tracker) SetAnswered(now time.Time, vm string) { t.answered[vm] = now }
+
+// isSilent reports whether nothing shows that a VM is responsive.
+func (t *Tracker) isSilent(now time.Time, vm VM) bool {
+	at, answered := t.answered[vm.Name]
+	return vm.Silent && !(answered && now.Sub(at) < answeredTTL)
+}
+
 // Avoid records that a VM is not asked for an endpoint, or for any if e is nil, for a time.
 func (t *Tracker) Avoid(now time.Time, vm string, e *directory.Endpoint, ttl time.Duration) {
 	t.avoided[avoidanceOf(vm, e)] = now.Add(ttl)
@@ -186,19 +206,22 @@
 
 // Choose returns at most n of the VMs to ask, one after the other, to pass a request to an endpoint:
 // in turn one of this zone, one of the endpoint's and one of another, since the VMs of a zone may
-// have lost the way to the endpoint together, and impaired ones last. The VMs of a group keep their
-// order.
+// have lost the way to the endpoint together, then impaired ones, and silent ones last. The VMs of a
+// group keep their order.
 func (t *Tracker) Choose(now time.Time, e *directory.Endpoint, vms []VM, n int) []VM {
 	var groups [numGroups][]VM
 	for _, vm := range vms {
-		if vm.Silent || t.isAvoided(now, vm, e) {
+		if t.isAvoided(now, vm, e) {
 			continue
 		}
 		g := t.groupOf(now, e, vm)
 		groups[g] = append(groups[g], vm)
 	}
 	chosen := interleave(n, groups[:impairedVMs])
-	return append(chosen, interleave(n-len(chosen), groups[impairedVMs:])...)
+	for _, last := range groups[impairedVMs:] {
+		chosen = append(chosen, last[:min(len(last), n-len(chosen))]...)
+	}
+	return chosen
 }
 
 // isAvoided reports whether a VM is not asked for an endpoint now.
@@ -217,7 +240,7 @@
 	c := candidates{known: len(vms)}
 	for _, vm := range vms {
 		switch {
-		case vm.Silent:
+		case t.isSilent(now, vm):
 			c.silent++
 		case t.isAvoided(now, vm, e):
 			c.avoided++
@@ -248,11 +271,14 @@
 	endpointZone
 	otherZones
 	impairedVMs
+	silentVMs
 	numGroups
 )
 
 func (t *Tracker) groupOf(now time.Time, e *directory.Endpoint, vm VM) int {
 	switch {
+	case t.isSilent(now, vm):
+		return silentVMs
 	case t.isImpaired(now, vm.Name):
 		return impairedVMs
 	case vm.Zone == t.zone:
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -72,8 +72,10 @@
 	var exchange *h1.Error
 	switch {
 	case err == nil:
+		c.recordAnswered(vm)
 		return responded
 	case errors.As(err, &reported):
+		c.recordAnswered(vm)
 		return c.judgeReport(vm, e, reported)
 	case !errors.As(err, &exchange) || exchange.Sent:
 		return unknown
--- a/reach/works.go
+++ b/reach/works.go
@@ -198,7 +198,7 @@
 
 // inContactWith reports whether this VM belongs to a zone or is in contact with a VM that does.
 func (c *Client) inContactWith(zone string) bool {
-	return zone == c.cfg.Zone || slices.ContainsFunc(c.cfg.VMs(), func(vm VM) bool { return vm.Zone == zone && !vm.Silent })
+	return zone == c.cfg.Zone || slices.ContainsFunc(c.responsiveVMs(), func(vm VM) bool { return vm.Zone == zone })
 }
 
 func (c *Client) recordCheck(zone string, check zoneCheck) {
