reach: ask a VM that was about to stop again once it has restarted

Callers of VMs that were cut off from all endpoints got 503 (endpoint-unreachable, not run), half of them, while the VMs that could help restarted one after the other.

Cause: a VM that answered that it was about to stop was left out for 10 s. Its process ends within the grace period, but the VM is back within less than a second of that and ready, and if all that could help had restarted within 10 s, nobody was asked ('asked 0, avoided 5' in the log).

Such a VM is asked after the others now, since it refuses at once, and in its turn again once it has helped.

--- a/reach/client.go
+++ b/reach/client.go
@@ -193,7 +193,7 @@
 	count := c.tracker.count(clock.Now(), e, vms)
 	c.mu.Unlock()
 	klog.InfoS("reach: no other VM reached the endpoint", "request", request, "endpoint", e.ID, "outcome", v, "asked", asked,
-		"vms", count.known, "silent", count.silent, "avoided", count.avoided, "impaired", count.impaired)
+		"vms", count.known, "silent", count.silent, "demoted", count.demoted, "avoided", count.avoided, "impaired", count.impaired)
 }
 
 // exchangeError returns the error of a hop in the form of that of a direct exchange.
@@ -241,6 +241,20 @@
 	c.tracker.SetAnswered(clock.Now(), vm.Name)
 }
 
+func (c *Client) recordHelped(vm VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.SetAnswered(clock.Now(), vm.Name)
+	c.tracker.SetHelped(vm.Name)
+}
+
+func (c *Client) demote(vm VM, ttl time.Duration, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Demote(clock.Now(), vm.Name, ttl)
+	klog.InfoS("reach: VM asked after others for a while", "vm", vm.Name, "reason", reason, "forMS", ttl.Milliseconds())
+}
+
 func (c *Client) avoid(vm VM, e *directory.Endpoint, ttl time.Duration, reason string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -31,7 +31,7 @@
 	answeredTTL = loadshare.MemberTimeout
 	// busyTTL is how long a VM that passes on too many requests is not asked.
 	busyTTL = 100 * time.Millisecond
-	// stoppingTTL is how long a VM that is about to stop is not asked. By then it has stopped.
+	// stoppingTTL is how long a VM that is about to stop is asked after the others. By then it has stopped.
 	stoppingTTL = 10 * time.Second
 	// minCheckInterval is the time until a broken path is checked for the first time. It doubles with
 	// each failed check up to maxCheckInterval.
@@ -68,6 +68,8 @@
 	impaired map[uint32]time.Time
 	// avoided holds what VMs are not asked for, and until when.
 	avoided map[avoidance]time.Time
+	// demoted holds the VMs that are asked after others, by name, and until when.
+	demoted map[string]time.Time
 	// answered holds when VMs last answered, by name.
 	answered map[string]time.Time
 }
@@ -75,7 +77,8 @@
 // NewTracker returns the tracker of a VM in an availability zone. All paths are open.
 func NewTracker(zone string) *Tracker {
 	return &Tracker{
-		zone: zone, broken: map[string]*path{}, impaired: map[uint32]time.Time{}, avoided: map[avoidance]time.Time{}, answered: map[string]time.Time{},
+		zone: zone, broken: map[string]*path{}, impaired: map[uint32]time.Time{}, avoided: map[avoidance]time.Time{},
+		demoted: map[string]time.Time{}, answered: map[string]time.Time{},
 	}
 }
 
@@ -164,6 +167,11 @@
 			delete(t.impaired, hash)
 		}
 	}
+	for vm, until := range t.demoted {
+		if !now.Before(until) {
+			delete(t.demoted, vm)
+		}
+	}
 	for vm, at := range t.answered {
 		if now.Sub(at) >= answeredTTL {
 			delete(t.answered, vm)
@@ -178,6 +186,15 @@
 	}
 }
 
+// Demote records that a VM is asked after others for a time. It refuses at once what it is asked meanwhile, but may be
+// back any time.
+func (t *Tracker) Demote(now time.Time, vm string, ttl time.Duration) { t.demoted[vm] = now.Add(ttl) }
+
+// SetHelped records that a VM has reached an endpoint.
+func (t *Tracker) SetHelped(vm string) { delete(t.demoted, vm) }
+
+func (t *Tracker) isDemoted(now time.Time, vm VM) bool { return now.Before(t.demoted[vm.Name]) }
+
 // SetAnswered records that a VM has answered this one.
 func (t *Tracker) SetAnswered(now time.Time, vm string) { t.answered[vm] = now }
 
@@ -206,7 +223,7 @@
 
 // Choose returns at most n of the VMs to ask, one after the other, to pass a request to an endpoint:
 // in turn one of this zone, one of the endpoint's and one of another, since the VMs of a zone may
-// have lost the way to the endpoint together, then impaired ones, and silent ones last. The VMs of a
+// have lost the way to the endpoint together, then impaired, demoted and silent ones. The VMs of a
 // group keep their order.
 func (t *Tracker) Choose(now time.Time, e *directory.Endpoint, vms []VM, n int) []VM {
 	var groups [numGroups][]VM
@@ -231,8 +248,8 @@
 
 // candidates counts the VMs that may be asked for an endpoint, for the log.
 type candidates struct {
-	// known is the number of all. silent, avoided and impaired ones are counted once, in this order.
-	known, silent, avoided, impaired int
+	// known is the number of all. silent, demoted, avoided and impaired ones are counted once, in this order.
+	known, silent, demoted, avoided, impaired int
 }
 
 // count counts VMs by what keeps them from being asked for an endpoint.
@@ -242,6 +259,8 @@
 		switch {
 		case t.isSilent(now, vm):
 			c.silent++
+		case t.isDemoted(now, vm):
+			c.demoted++
 		case t.isAvoided(now, vm, e):
 			c.avoided++
 		case t.isImpaired(now, vm.Name):
@@ -271,6 +290,7 @@
 	endpointZone
 	otherZones
 	impairedVMs
+	demotedVMs
 	silentVMs
 	numGroups
 )
@@ -279,6 +299,8 @@
 	switch {
 	case t.isSilent(now, vm):
 		return silentVMs
+	case t.isDemoted(now, vm):
+		return demotedVMs
 	case t.isImpaired(now, vm.Name):
 		return impairedVMs
 	case vm.Zone == t.zone:
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -72,7 +72,7 @@
 	var exchange *h1.Error
 	switch {
 	case err == nil:
-		c.recordAnswered(vm)
+		c.recordHelped(vm)
 		return responded
 	case errors.As(err, &reported):
 		c.recordAnswered(vm)
@@ -101,7 +101,7 @@
 		c.avoid(vm, nil, busyTTL, "the VM passes on too many requests")
 		return abstains
 	case reported.Code == failure.Stopping:
-		c.avoid(vm, nil, stoppingTTL, "the VM is about to stop")
+		c.demote(vm, stoppingTTL, "the VM is about to stop")
 		return abstains
 	case reported.Code != failure.EndpointUnreachable:
 		return refused
