reach: ask a VM whose process had ended again once it has restarted

Callers of VMs that were cut off from all endpoints got 503 (endpoint-unreachable, not run), four in ten of them, while the VMs that could help were killed one after the other and were back within 0.3 s.

Cause: as with VMs that are about to stop, for what a VM's former process did it was left out, here for 1 s after it had refused a connection.

A refused connection costs next to nothing, so such a VM is asked after the others. One to which connections hang is left out for a second as before.

TestRestartedVMHelpsAgain/its_process_had_ended fails before.

--- a/hop/errors.go
+++ b/hop/errors.go
@@ -69,12 +69,15 @@
 // Unwrap returns the cause, but not a refused connection, which would be mistaken for the
 // endpoint's.
 func (e *ExchangeError) Unwrap() error {
-	if errors.Is(e.Cause, unix.ECONNREFUSED) {
+	if e.Refused() {
 		return nil
 	}
 	return e.Cause
 }
 
+// Refused reports whether the other VM refused the connection: its process does not run.
+func (e *ExchangeError) Refused() bool { return errors.Is(e.Cause, unix.ECONNREFUSED) }
+
 // StatusError is a response to a connect check that is neither a success nor a failure in the format
 // of a Server.
 type StatusError struct{ Status int }
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -86,6 +86,11 @@
 	if errors.As(err, &withdrawn) {
 		return refused
 	}
+	var toVM *hop.ExchangeError
+	if errors.As(err, &toVM) && toVM.Refused() {
+		c.demote(vm, unresponsiveTTL, "the VM refused the connection")
+		return noVM
+	}
 	c.avoid(vm, nil, unresponsiveTTL, "the VM is not reached")
 	return noVM
 }
