reach: VMs that are cut off too do not use up what is asked for a request

Callers of VMs that were cut off from all endpoints got 503 (endpoint-unreachable, not run) though a VM that would have helped was known.

Cause: three VMs at most were asked for a request, and those that do not reach the endpoint as they are cut off themselves, or that do not run, counted like those that say something of the endpoint.

Only VMs that have their say on the endpoint count now. The others are asked until one helps, for a tenth of a second at most.

TestCutOffVMsDoNotUseUpWhatIsAsked fails before.

--- a/reach/client.go
+++ b/reach/client.go
@@ -20,10 +20,11 @@
 )
 
 const (
-	// maxHops is the number of VMs that are asked for one request.
+	// maxHops is the number of VMs whose word on an endpoint is asked for one request. Those that say nothing of it, as
+	// they do not reach several themselves or do not run, do not count.
 	maxHops = 3
-	// inquiryLimit is the time after which a request asks no further VM. A VM that does not reach the
-	// endpoint either may take the timeout of a connection to say so.
+	// inquiryLimit is the time after which a request asks no further VM, once maxHops were asked or one has had its
+	// say. A VM that does not reach the endpoint either may take the timeout of a connection to say so.
 	inquiryLimit = 100 * time.Millisecond
 	// inquiryPatience is how long an inquiry waits for VMs whose verdict may differ from that of others. It
 	// is several round trips within a region.
@@ -162,8 +163,10 @@
 	}
 	var all verdicts
 	start, asked := clock.Now(), 0
-	for _, vm := range c.choose(e, c.cfg.VMs()) {
-		if all.answered() && clock.Since(start) >= inquiryLimit {
+	vms := c.cfg.VMs()
+	for _, vm := range c.choose(e, vms, len(vms)) {
+		late := clock.Since(start) >= inquiryLimit
+		if all.said == maxHops || late && (all.answered() || asked >= maxHops) {
 			break
 		}
 		asked++
@@ -218,12 +221,12 @@
 	c.tracker.Avoid(clock.Now(), "", e, allUnreachedTTL)
 }
 
-// choose returns those of the VMs to ask for an endpoint, in random order within their groups. It changes the order of vms.
-func (c *Client) choose(e *directory.Endpoint, vms []VM) []VM {
+// choose returns at most n of the VMs to ask for an endpoint, in random order within their groups. It changes the order of vms.
+func (c *Client) choose(e *directory.Endpoint, vms []VM, n int) []VM {
 	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.Choose(clock.Now(), e, vms, maxHops)
+	return c.tracker.Choose(clock.Now(), e, vms, n)
 }
 
 // responsiveVMs returns the other VMs that are not silent.
--- /dev/null
+++ b/reach/impaired_test.go
@@ -0,0 +1,26 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/springweir/springweir/failure"
+	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/loadshare"
+)
+
+// VMs that are cut off too are no help, and do not keep a request from one that is.
+func TestCutOffVMsDoNotUseUpWhatIsAsked(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectTimeout, through: map[string]error{}}
+	c, d := newTestClient(n, "e")
+	vms := []VM{silentVM("helper", "b")}
+	for i := range 2 * maxHops {
+		name := fmt.Sprint("cut", i)
+		vms, n.through[name] = append(vms, vm(name, "a")), reported(failure.EndpointUnreachable, failure.NotRun)
+		c.ReceiveImpaired([]uint32{loadshare.Hash(name)})
+	}
+	c.cfg.VMs = func() []VM { return append([]VM(nil), vms...) }
+	if _, err := c.Do(t.Context(), d.Snapshot().Endpoint("e"), &h1.Request{}); err != nil {
+		t.Error(err)
+	}
+}
--- a/reach/inquiry.go
+++ b/reach/inquiry.go
@@ -68,7 +68,7 @@
 // failed. Silent ones are not waited for. What they say counts also for later requests, so it is not cut short by the end of ctx.
 func (c *Client) inquire(ctx context.Context, e *directory.Endpoint, cause error) verdict {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inquiryTimeout)
-	vms := c.choose(e, c.responsiveVMs())
+	vms := c.choose(e, c.responsiveVMs(), maxHops)
 	answers, own := c.askAll(ctx, cancel, vms, e), make(chan bool, 1)
 	if len(vms) > 0 && errors.Is(cause, unix.ECONNREFUSED) {
 		go func() { own <- c.Works(ctx, e) }()
--- a/reach/inquiry_test.go
+++ b/reach/inquiry_test.go
@@ -86,7 +86,7 @@
 		ctx, leave := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer leave()
 		_, _ = c.Do(ctx, e, &h1.Request{})
-		if got := len(c.choose(e, c.cfg.VMs())); got != 2 {
+		if got := len(c.choose(e, c.cfg.VMs(), maxHops)); got != 2 {
 			t.Errorf("%d of 2 VMs are asked after a caller has left", got)
 		}
 		if c.broken(e) {
@@ -152,7 +152,7 @@
 			t.Error("the crashed endpoint counts as a broken path")
 		}
 		time.Sleep(hopConnectTimeout) // until the silent VM is given up
-		if got := len(c.choose(e, c.cfg.VMs())); got != 1 {
+		if got := len(c.choose(e, c.cfg.VMs(), maxHops)); got != 1 {
 			t.Errorf("%d VMs are asked next, want b1", got)
 		}
 	})
@@ -338,7 +338,7 @@
 	e := d.Snapshot().Endpoint("e")
 	b.RunParallel(func(p *testing.PB) {
 		for p.Next() {
-			c.choose(e, c.cfg.VMs())
+			c.choose(e, c.cfg.VMs(), maxHops)
 		}
 	})
 }
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -44,15 +44,22 @@
 
 // verdicts sums up what several VMs say about an endpoint that none of them has reached. It does not
 // depend on their order.
-type verdicts struct{ down, notReached bool }
+type verdicts struct {
+	down, notReached bool
+	// said is the number of VMs that have said something about the endpoint.
+	said int
+}
 
 func (s *verdicts) add(v verdict) {
 	s.down = s.down || v == endpointDown
 	s.notReached = s.notReached || v == notReached
+	if v == endpointDown || v == notReached {
+		s.said++
+	}
 }
 
 // answered reports whether a VM has said something about the endpoint.
-func (s *verdicts) answered() bool { return s.down || s.notReached }
+func (s *verdicts) answered() bool { return s.said > 0 }
 
 // sum returns the common verdict. An endpoint is down only if no VM merely fails to reach it, since
 // the others may have lost the way to it.
