reach: hand no request to a VM that does not respond

Callers of VMs that were cut off from all endpoints got 503 (deadline-unreachable, 'too busy') or nothing, one in ten, while one of the two VMs that could help stood still for up to two seconds at a time.

Cause: a suspended VM accepts connections and requests in its kernel. What it was sent may run any time later, so it could not be sent elsewhere, and what was open there counted as load of the endpoints, so that others were refused as too late. The VM went on to be used until its datagrams had been missed for two seconds.

A VM is asked whether it would pass the request on, for 100 ms at most, before the request is sent, unless it has answered in the last 20 ms. If it does not respond, nothing of the request was sent, the next VM is asked, and this one after the others for a second. The question also finds the VM that is about to stop, busy or cut off itself before the body is sent.

TestSuspendedVMTakesNoRequest fails without the question.

--- a/caller/wire/wire.go
+++ b/caller/wire/wire.go
@@ -32,7 +32,7 @@
 	// HeaderUntilClose marks a response whose body ended with the connection to the endpoint.
 	HeaderUntilClose = "Springweir-Until-Close"
 	// HeaderConnect marks a request that asks the receiving VM only to open a connection to the
-	// endpoint.
+	// endpoint or, with the value ConnectNotNow, whether it would pass on a request.
 	HeaderConnect = "Springweir-Connect"
 	// HeaderPrefix starts the name of every header of springweir itself.
 	HeaderPrefix = "Springweir-"
@@ -49,6 +49,9 @@
 	PathConnect = "/springweir/connect"
 )
 
+// ConnectNotNow is the value of HeaderConnect that opens no connection. A VM of an earlier build opens one nonetheless.
+const ConnectNotNow = "not-now"
+
 // DoneEvent is the data of the event that ends a complete stream. A failed stream never has it.
 const DoneEvent = "[DONE]"
 
--- a/hop/client.go
+++ b/hop/client.go
@@ -59,8 +59,18 @@
 
 // Connect asks vm to open a connection to e. The errors are those of Do.
 func (c *Client) Connect(ctx context.Context, vm Peer, e *directory.Endpoint) error {
+	return c.ask(ctx, vm, e, "1")
+}
+
+// Ready asks vm whether it would pass on a request to e. It opens no connection to e. The errors are those of Do, but
+// no request was sent whatever they say.
+func (c *Client) Ready(ctx context.Context, vm Peer, e *directory.Endpoint) error {
+	return c.ask(ctx, vm, e, wire.ConnectNotNow)
+}
+
+func (c *Client) ask(ctx context.Context, vm Peer, e *directory.Endpoint, connect string) error {
 	out := &h1.Request{Method: http.MethodGet, Target: wire.PathConnect, Host: vm.Address, Header: http.Header{}}
-	response, err := c.exchange(ctx, vm, e, out, http.Header{wire.HeaderConnect: {"1"}})
+	response, err := c.exchange(ctx, vm, e, out, http.Header{wire.HeaderConnect: {connect}})
 	if err != nil {
 		return err
 	}
--- a/hop/failures_test.go
+++ b/hop/failures_test.go
@@ -214,6 +214,28 @@
 	})
 }
 
+// A VM that is asked whether it would pass on a request connects to nothing.
+func TestReady(t *testing.T) {
+	inSite(t, raw(emptyOK), func(t *testing.T, s *site) {
+		if err := s.client.Ready(t.Context(), s.peer, endpoint()); err != nil {
+			t.Error(err)
+		}
+		var failed *hop.Error
+		s.cfg.Unreached = func(*directory.Endpoint) bool { return true }
+		s.startVM()
+		if err := s.client.Ready(t.Context(), s.peer, endpoint()); !errors.As(err, &failed) || failed.Code != failure.EndpointUnreachable || !failed.NotRun() {
+			t.Errorf("not reached: got %v", err)
+		}
+		s.directory.Drain(endpoint())
+		if err := s.client.Ready(t.Context(), s.peer, endpoint()); !errors.As(err, &failed) || failed.Code != failure.EndpointLeaving {
+			t.Errorf("draining: got %v", err)
+		}
+		if n := s.connectionCount(); n != 0 {
+			t.Errorf("%d connections to the endpoint", n)
+		}
+	})
+}
+
 // fakeVM serves one request per connection with the raw bytes that respond returns, given the
 // attempt.
 func fakeVM(t *testing.T, n *pipenet.Network, respond func(attempt string) string) {
--- a/hop/server.go
+++ b/hop/server.go
@@ -35,6 +35,8 @@
 	Forward func(ctx context.Context, e *directory.Endpoint, out *h1.Request) (*h1.Response, error)
 	// Connect opens a connection to an endpoint.
 	Connect func(ctx context.Context, e *directory.Endpoint) error
+	// Unreached reports whether an endpoint is known not to be reached; nil means that none is.
+	Unreached func(e *directory.Endpoint) bool
 	// RequestID returns the ID of a request, given its headers, for the log; nil for none.
 	RequestID func(http.Header) string
 	// MaxConcurrent bounds the requests that are passed on at a time; zero is DefaultMaxConcurrent.
@@ -47,6 +49,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Unreached == nil {
+		c.Unreached = func(*directory.Endpoint) bool { return false }
+	}
 	if c.RequestID == nil {
 		c.RequestID = func(http.Header) string { return "" }
 	}
@@ -138,7 +143,11 @@
 	if failed != nil {
 		return result{failed: failed}
 	}
-	if isConnectCheck(r) {
+	switch r.Header.Get(wire.HeaderConnect) {
+	case "":
+	case wire.ConnectNotNow:
+		return s.ready(w, e)
+	default:
 		return s.connect(ctx, w, e)
 	}
 	response, err := s.cfg.Forward(ctx, e, endpointRequest(r, body))
@@ -230,13 +239,23 @@
 	return notRun(failure.EndpointUnreachable, "the endpoint was not reached", err)
 }
 
-func isConnectCheck(r *http.Request) bool { return r.Header.Get(wire.HeaderConnect) != "" }
-
 // connect serves a connect check.
 func (s *Server) connect(ctx context.Context, w http.ResponseWriter, e *directory.Endpoint) result {
 	if err := s.cfg.Connect(ctx, e); err != nil {
 		return result{failed: connectFailure(err)}
 	}
+	return noContent(w)
+}
+
+// ready tells whether a request to an endpoint would be passed on.
+func (s *Server) ready(w http.ResponseWriter, e *directory.Endpoint) result {
+	if s.cfg.Unreached(e) {
+		return result{failed: notRun(failure.EndpointUnreachable, "the endpoint is not reached", nil)}
+	}
+	return noContent(w)
+}
+
+func noContent(w http.ResponseWriter) result {
 	w.WriteHeader(http.StatusNoContent)
 	return result{status: http.StatusNoContent, headSent: true}
 }
--- a/reach/client.go
+++ b/reach/client.go
@@ -26,6 +26,9 @@
 	// inquiryLimit is the time after which a request asks no further VM, once maxHops were asked or one has had its
 	// say. A VM that does not reach the endpoint either may take the timeout of a connection to say so.
 	inquiryLimit = 100 * time.Millisecond
+	// readyTimeout bounds the question whether a VM would pass on a request. It is above the stalls of a VM whose share of
+	// a processor is used up.
+	readyTimeout = 100 * time.Millisecond
 	// inquiryPatience is how long an inquiry waits for VMs whose verdict may differ from that of others. It
 	// is several round trips within a region.
 	inquiryPatience = 10 * time.Millisecond
@@ -52,6 +55,8 @@
 // Hop sends requests through other VMs. It is implemented by *hop.Client.
 type Hop interface {
 	Do(ctx context.Context, vm hop.Peer, e *directory.Endpoint, out *h1.Request) (*h1.Response, error)
+	// Ready asks a VM whether it would pass on a request.
+	Ready(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error
 	Connect(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error
 }
 
@@ -170,8 +175,7 @@
 			break
 		}
 		asked++
-		response, err := c.cfg.Hop.Do(ctx, vm.Peer, e, out)
-		v := c.judge(ctx, vm, e, err)
+		response, v, err := c.throughVM(ctx, vm, e, out)
 		if !v.final() {
 			all.add(v)
 			continue
@@ -189,6 +193,25 @@
 	return nil, v, nil
 }
 
+// throughVM sends a request through a VM that has shown that it is responsive. What is sent to one that is suspended may
+// run any time later, and is lost until then.
+func (c *Client) throughVM(ctx context.Context, vm VM, e *directory.Endpoint, out *h1.Request) (*h1.Response, verdict, error) {
+	if !c.justAnswered(vm) {
+		err := c.askReady(ctx, vm, e)
+		if v := c.judgeReady(ctx, vm, e, err); v != responded {
+			return nil, v, err
+		}
+	}
+	response, err := c.cfg.Hop.Do(ctx, vm.Peer, e, out)
+	return response, c.judge(ctx, vm, e, err), err
+}
+
+func (c *Client) askReady(ctx context.Context, vm VM, e *directory.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return c.cfg.Hop.Ready(ctx, vm.Peer, e)
+}
+
 // logUnhelped logs that no other VM reached an endpoint for a request, and why VMs were not asked.
 func (c *Client) logUnhelped(request string, e *directory.Endpoint, v verdict, asked int) {
 	vms := c.cfg.VMs()
@@ -244,6 +267,13 @@
 	c.tracker.SetAnswered(clock.Now(), vm.Name)
 }
 
+// justAnswered reports whether a VM has answered so recently that it need not show that it is responsive.
+func (c *Client) justAnswered(vm VM) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.JustAnswered(clock.Now(), vm.Name)
+}
+
 func (c *Client) recordHelped(vm VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/reach/client_test.go
+++ b/reach/client_test.go
@@ -36,7 +36,9 @@
 	idle   bool
 	// through holds the outcome of a hop by VM.
 	through map[string]error
-	calls   []string
+	// notReady holds why a VM would not pass on requests.
+	notReady map[string]error
+	calls    []string
 }
 
 func (n *fakeNetwork) record(call string) {
@@ -97,6 +99,10 @@
 	return result(h.through[vm.Name])
 }
 
+func (h fakeHop) Ready(_ context.Context, vm hop.Peer, _ *directory.Endpoint) error {
+	return h.notReady[vm.Name]
+}
+
 func (h fakeHop) Connect(_ context.Context, vm hop.Peer, e *directory.Endpoint) error {
 	h.record(vm.Name + " connects to " + e.ID)
 	return h.through[vm.Name]
--- a/reach/crash_test.go
+++ b/reach/crash_test.go
@@ -124,6 +124,14 @@
 	name string
 }
 
+func (h suspendedVM) Ready(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error {
+	if vm.Name != h.name {
+		return h.fakeHop.Ready(ctx, vm, e)
+	}
+	<-ctx.Done()
+	return &h1.Error{Sent: true, Cause: &hop.ExchangeError{VM: vm.Name, Cause: context.Cause(ctx)}}
+}
+
 func (h suspendedVM) Connect(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error {
 	if vm.Name == h.name {
 		<-ctx.Done()
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -30,6 +30,8 @@
 	unresponsiveTTL = time.Second
 	// answeredTTL is how long a VM that has answered is not taken for silent.
 	answeredTTL = loadshare.MemberTimeout
+	// justAnsweredTTL is how long a VM that has answered need not show again that it is responsive.
+	justAnsweredTTL = 20 * time.Millisecond
 	// busyTTL is how long a VM that passes on too many requests is not asked.
 	busyTTL = 100 * time.Millisecond
 	// stoppingTTL is how long a VM that is about to stop is asked after the others. By then it has stopped.
@@ -199,6 +201,12 @@
 // SetAnswered records that a VM has answered this one.
 func (t *Tracker) SetAnswered(now time.Time, vm string) { t.answered[vm] = now }
 
+// JustAnswered reports whether a VM has answered within justAnsweredTTL.
+func (t *Tracker) JustAnswered(now time.Time, vm string) bool {
+	at, answered := t.answered[vm]
+	return answered && now.Sub(at) < justAnsweredTTL
+}
+
 // isSilent reports whether nothing shows that a VM is responsive.
 func (t *Tracker) isSilent(now time.Time, vm VM) bool {
 	at, answered := t.answered[vm.Name]
--- a/reach/restart_test.go
+++ b/reach/restart_test.go
@@ -1,8 +1,12 @@
 package reach
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sys/unix"
 
 	"github.com/springweir/springweir/failure"
@@ -31,3 +35,29 @@
 		})
 	}
 }
+
+// A request is not handed to a VM that does not respond, since it may run any time later: another one passes it on.
+func TestSuspendedVMTakesNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &fakeNetwork{direct: errConnectRefused}
+		c, d := newTestClient(n, "e")
+		c.cfg.Hop = suspendedVM{fakeHop{n}, "a1"}
+		e := d.Snapshot().Endpoint("e")
+		for _, step := range []struct {
+			request string
+			limit   time.Duration
+		}{{"first", readyTimeout}, {"next", 0}} {
+			start := time.Now()
+			if _, err := c.Do(t.Context(), e, &h1.Request{}); err != nil {
+				t.Errorf("the %s request: %v", step.request, err)
+			}
+			if took := time.Since(start); took > step.limit {
+				t.Errorf("the %s request took %v", step.request, took)
+			}
+			if diff := cmp.Diff([]string{"b1 e"}, slices.DeleteFunc(n.take(), func(call string) bool { return call == "direct e" })); diff != "" {
+				t.Errorf("the %s request: %s", step.request, diff)
+			}
+			time.Sleep(2 * justAnsweredTTL)
+		}
+	})
+}
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -93,12 +93,39 @@
 	if errors.As(err, &withdrawn) {
 		return refused
 	}
+	c.judgeLost(vm, err)
+	return noVM
+}
+
+// judgeLost records that a VM was not reached.
+func (c *Client) judgeLost(vm VM, err error) {
 	var toVM *hop.ExchangeError
 	if errors.As(err, &toVM) && toVM.Refused() {
 		c.demote(vm, unresponsiveTTL, "the VM refused the connection")
-		return noVM
+		return
 	}
 	c.avoid(vm, nil, unresponsiveTTL, "the VM is not reached")
+}
+
+// judgeReady classifies the outcome of the question whether a VM would pass on a request, for which responded means that
+// it would. Nothing of the request was sent.
+func (c *Client) judgeReady(ctx context.Context, vm VM, e *directory.Endpoint, err error) verdict {
+	var reported *hop.Error
+	var exchange *h1.Error
+	switch {
+	case err == nil:
+		c.recordAnswered(vm)
+		return responded
+	case errors.As(err, &reported) && reported.NotRun():
+		c.recordAnswered(vm)
+		return c.judgeReport(vm, e, reported)
+	case ctx.Err() != nil:
+		return cancelled
+	case errors.As(err, &exchange) && exchange.Sent:
+		c.demote(vm, unresponsiveTTL, "the VM does not respond")
+	default:
+		c.judgeLost(vm, err)
+	}
 	return noVM
 }
 
