loadshare: VMs whose datagrams do not arrive may be read from, after the others

The same cause as with VMs that are cut off from endpoints: in a region of up to 16 VMs, one that is cut off from the store read the tables only from VMs whose datagrams it heard, and from none if datagrams were lost, though their HTTP worked. It would miss changes of the configuration and of the endpoints until the store was back (read in the code; no run of it).

Silent VMs now follow the others. Ones that have ended cost a query each, after which they are left out for a while (feedshare.backOffPeer).

--- a/loadshare/region.go
+++ b/loadshare/region.go
@@ -184,14 +184,23 @@
 }
 
 // peersOutsideZone returns at most n VMs: the collectors of the other zones or, in a small region,
-// the responsive peers with the highest capacity.
+// the peers with the highest capacity, responsive ones first: the others may merely not be heard.
 func (r *region) peersOutsideZone(now time.Time, n int) []Peer {
 	if r.usesCollectors() {
 		list := r.otherCollectors(now)
 		return list[:min(n, len(list))]
 	}
-	list := slices.DeleteFunc(slices.Clone(r.peers), func(p Peer) bool { return !r.presumedAlive(p.Name, now) })
-	sortByCapacity(list)
+	var alive, silent []Peer
+	for _, p := range r.peers {
+		if r.presumedAlive(p.Name, now) {
+			alive = append(alive, p)
+		} else {
+			silent = append(silent, p)
+		}
+	}
+	sortByCapacity(alive)
+	sortByCapacity(silent)
+	list := append(alive, silent...)
 	return list[:min(n, len(list))]
 }
 
