hop: a VM that is cut off says so in its failures

While the datagrams between VMs were lost, callers of VMs that were cut off got 503 (endpoint-unreachable, not run) for 0.3 s at a time, until enough was known of who helps.

Cause: that a VM is impaired was known by its datagrams alone.

A failure of a hop says now whether its VM is impaired. Such a VM abstains, as one whose datagrams say so.

TestCutOffVMsThatAreNotHeardAreNoEvidence fails before.

--- a/caller/wire/wire.go
+++ b/caller/wire/wire.go
@@ -31,6 +31,8 @@
 	HeaderIncarnation = "Springweir-Incarnation"
 	// HeaderUntilClose marks a response whose body ended with the connection to the endpoint.
 	HeaderUntilClose = "Springweir-Until-Close"
+	// HeaderImpaired marks a response of a VM that does not reach several endpoints.
+	HeaderImpaired = "Springweir-Impaired"
 	// HeaderConnect marks a request that asks the receiving VM only to open a connection to the
 	// endpoint or, with the value ConnectNotNow, whether it would pass on a request.
 	HeaderConnect = "Springweir-Connect"
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -37,7 +37,7 @@
 		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.otherVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
 		Hop: g.hopClient, Down: func(e *directory.Endpoint) bool { return g.planner.IsDown(e) },
 	})
-	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, Unreached: g.reach.Unreached, RequestID: p.RequestID, Memory: g.requestMemory})
+	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, Unreached: g.reach.Unreached, Impaired: g.reach.Impaired, RequestID: p.RequestID, Memory: g.requestMemory})
 	if p.SetSender != nil {
 		p.SetSender(g.reach)
 	}
--- a/hop/client.go
+++ b/hop/client.go
@@ -158,7 +158,9 @@
 	if err != nil {
 		return &Error{VM: vm.Name, Code: failure.EndpointBroke, Outcome: failure.Unknown, Cause: err}
 	}
-	return newError(vm.Name, failed)
+	reported := newError(vm.Name, failed)
+	reported.Impaired = response.Header.Get(wire.HeaderImpaired) != ""
+	return reported
 }
 
 func strayResponse(vm Peer, status int) *h1.Error {
--- a/hop/errors.go
+++ b/hop/errors.go
@@ -20,6 +20,8 @@
 	// Down is set if the endpoint refused the VM's connection, and Busy if the VM passes on too many
 	// requests already. Neither ran.
 	Down, Busy bool
+	// Impaired is set if the VM does not reach several endpoints.
+	Impaired bool
 	// Cause is the decoded failure.
 	Cause error
 }
--- a/hop/failures_test.go
+++ b/hop/failures_test.go
@@ -222,8 +222,9 @@
 		}
 		var failed *hop.Error
 		s.cfg.Unreached = func(*directory.Endpoint) bool { return true }
+		s.cfg.Impaired = func() bool { return true }
 		s.startVM()
-		if err := s.client.Ready(t.Context(), s.peer, endpoint()); !errors.As(err, &failed) || failed.Code != failure.EndpointUnreachable || !failed.NotRun() {
+		if err := s.client.Ready(t.Context(), s.peer, endpoint()); !errors.As(err, &failed) || failed.Code != failure.EndpointUnreachable || !failed.NotRun() || !failed.Impaired {
 			t.Errorf("not reached: got %v", err)
 		}
 		s.directory.Drain(endpoint())
--- a/hop/server.go
+++ b/hop/server.go
@@ -37,6 +37,8 @@
 	Connect func(ctx context.Context, e *directory.Endpoint) error
 	// Unreached reports whether an endpoint is known not to be reached; nil means that none is.
 	Unreached func(e *directory.Endpoint) bool
+	// Impaired reports whether this VM does not reach several endpoints; nil means that it does.
+	Impaired func() bool
 	// RequestID returns the ID of a request, given its headers, for the log; nil for none.
 	RequestID func(http.Header) string
 	// MaxConcurrent bounds the requests that are passed on at a time; zero is DefaultMaxConcurrent.
@@ -52,6 +54,9 @@
 	if c.Unreached == nil {
 		c.Unreached = func(*directory.Endpoint) bool { return false }
 	}
+	if c.Impaired == nil {
+		c.Impaired = func() bool { return false }
+	}
 	if c.RequestID == nil {
 		c.RequestID = func(http.Header) string { return "" }
 	}
@@ -113,6 +118,9 @@
 	case res.headSent:
 		panic(http.ErrAbortHandler) // a broken connection shows that the response is incomplete
 	default:
+		if s.cfg.Impaired() {
+			w.Header().Set(wire.HeaderImpaired, "1")
+		}
 		_ = WriteFailure(w, res.failed) // if it fails, the other VM has gone
 	}
 }
--- a/reach/impaired_test.go
+++ b/reach/impaired_test.go
@@ -24,3 +24,20 @@
 		t.Error(err)
 	}
 }
+
+// What VMs that are cut off say of an endpoint counts for nothing, also if their datagrams do not arrive.
+func TestCutOffVMsThatAreNotHeardAreNoEvidence(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectTimeout, through: map[string]error{}}
+	c, d := newTestClient(n, "e")
+	vms := []VM{silentVM("helper", "b")}
+	for i := range 20 * maxHops {
+		name := fmt.Sprint("cut", i)
+		failed := reported(failure.EndpointUnreachable, failure.NotRun)
+		failed.Impaired = true
+		vms, n.through[name] = append(vms, silentVM(name, "b")), failed
+	}
+	c.cfg.VMs = func() []VM { return append([]VM(nil), vms...) }
+	if _, err := c.Do(t.Context(), d.Snapshot().Endpoint("e"), &h1.Request{}); err != nil {
+		t.Error(err)
+	}
+}
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -8,6 +8,7 @@
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/hop"
 	"github.com/springweir/springweir/internal/h1"
+	"github.com/springweir/springweir/loadshare"
 )
 
 // verdict is what the outcome of a hop says.
@@ -145,6 +146,9 @@
 	case reported.Code != failure.EndpointUnreachable:
 		return refused
 	}
+	if reported.Impaired {
+		c.ReceiveImpaired([]uint32{loadshare.Hash(vm.Name)})
+	}
 	c.avoid(vm, e, unreachedTTL, "the VM does not reach the endpoint either")
 	if c.isImpaired(vm) {
 		return abstains
