reach: an inquiry asks further VMs if those that were asked are cut off too

Cause: as with requests, three VMs were asked, and those that are cut off themselves abstain. With no word of any other the VM's own check counted, which still reached an endpoint as the cut began.

For each VM that says nothing of the endpoint another one is asked. TestCutOffVMsDoNotHideThatAnEndpointIsUp fails before.

--- a/reach/impaired_test.go
+++ b/reach/impaired_test.go
@@ -1,9 +1,12 @@
 package reach
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/h1"
 	"github.com/springweir/springweir/loadshare"
@@ -41,3 +44,22 @@
 		t.Error(err)
 	}
 }
+
+// An endpoint is not taken to be down because the VMs that are asked first are cut off from it too.
+func TestCutOffVMsDoNotHideThatAnEndpointIsUp(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectRefused, reached: map[string]bool{"f": true}, through: map[string]error{}}
+	vms := []VM{vm("helper", "c")}
+	for i := range 20 * maxHops {
+		name := fmt.Sprint("cut", i)
+		failed := reported(failure.EndpointUnreachable, failure.NotRun)
+		failed.Impaired = true
+		vms, n.through[name] = append(vms, vm(name, []string{"a", "c"}[i%2])), failed
+	}
+	for range 5 {
+		c, d := newTestClient(n, "e", "f")
+		c.cfg.VMs = func() []VM { return append([]VM(nil), vms...) }
+		if err := c.Connect(t.Context(), d.Snapshot().Endpoint("e")); errors.Is(err, unix.ECONNREFUSED) {
+			t.Error("the endpoint counts as down, though a VM reaches it")
+		}
+	}
+}
--- a/reach/inquiry.go
+++ b/reach/inquiry.go
@@ -64,18 +64,35 @@
 	return q.patienceOver && q.answers.sum() == endpointDown || q.limitOver && !q.answers.answered()
 }
 
-// inquire asks other VMs whether they reach an endpoint, all at once, after a connection of this VM has
-// failed. Silent ones are not waited for. What they say counts also for later requests, so it is not cut short by the end of ctx.
+// inquire asks other VMs whether they reach an endpoint, several at once, after a connection of this VM has
+// failed. For each that says nothing of it, another one is asked. Silent ones are not waited for. What they say counts also
+// for later requests, so it is not cut short by the end of ctx.
 func (c *Client) inquire(ctx context.Context, e *directory.Endpoint, cause error) verdict {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), inquiryTimeout)
-	vms := c.choose(e, c.responsiveVMs(), maxHops)
-	answers, own := c.askAll(ctx, cancel, vms, e), make(chan bool, 1)
+	vms := c.responsiveVMs()
+	vms = c.choose(e, vms, len(vms))
+	answers, own := make(chan verdict, len(vms)), make(chan bool, 1)
+	var asked sync.WaitGroup
+	defer func() {
+		go func() {
+			asked.Wait()
+			cancel()
+		}()
+	}()
+	pending := 0
+	ask := func(n int) {
+		n = min(n, len(vms))
+		for _, vm := range vms[:n] {
+			asked.Go(func() { answers <- c.judge(ctx, vm, e, c.cfg.Hop.Connect(ctx, vm.Peer, e)) })
+		}
+		vms, pending = vms[n:], pending+n
+	}
 	if len(vms) > 0 && errors.Is(cause, unix.ECONNREFUSED) {
 		go func() { own <- c.Works(ctx, e) }()
 	}
 	patience, limit := time.After(inquiryPatience), time.After(inquiryLimit)
 	var q inquiry
-	for pending := len(vms); pending > 0; {
+	for ask(maxHops); pending > 0; {
 		select {
 		case v := <-answers:
 			if v == responded {
@@ -83,6 +100,9 @@
 			}
 			q.answers.add(v)
 			pending--
+			if !v.concernsEndpoint() {
+				ask(1)
+			}
 		case q.works = <-own:
 		case <-patience:
 			q.patienceOver = true
@@ -99,20 +119,6 @@
 	return endpointDown
 }
 
-// askAll asks VMs at once whether they reach an endpoint, and calls done after the last answer.
-func (c *Client) askAll(ctx context.Context, done func(), vms []VM, e *directory.Endpoint) <-chan verdict {
-	answers := make(chan verdict, len(vms))
-	var asked sync.WaitGroup
-	for _, vm := range vms {
-		asked.Go(func() { answers <- c.judge(ctx, vm, e, c.cfg.Hop.Connect(ctx, vm.Peer, e)) })
-	}
-	go func() {
-		asked.Wait()
-		done()
-	}()
-	return answers
-}
-
 // unreached returns the error of a connection to an endpoint that may be up. It does not wrap the
 // cause, which may be a refused connection.
 func unreached(cause error) *Error {
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -40,6 +40,9 @@
 	return v.reached() || v == refused || v == unknown || v == cancelled
 }
 
+// concernsEndpoint reports whether a VM that has not reached the endpoint has said something about it.
+func (v verdict) concernsEndpoint() bool { return v == endpointDown || v == notReached }
+
 // reached reports whether the other VM has reached the endpoint.
 func (v verdict) reached() bool { return v == responded || v == broke }
 
@@ -54,7 +57,7 @@
 func (s *verdicts) add(v verdict) {
 	s.down = s.down || v == endpointDown
 	s.notReached = s.notReached || v == notReached
-	if v == endpointDown || v == notReached {
+	if v.concernsEndpoint() {
 		s.said++
 	}
 }
