placement: the loss of a VM that passed requests on ejects no endpoint

Callers of VMs that were cut off from all endpoints got 503 (no-endpoint, not run) for a second or more, after a VM that passed their requests on had been killed, though another one helped.

Cause: a request that broke off with that VM counted as a failure of its endpoint. The requests of one VM to several endpoints break off at once, so that all engines that decode were ejected.

Such failures are told apart now (failure.PeerLostError): an exchange that failed between the VMs, and a response that broke off if the VM does not respond when it is asked right after that. They do not count for the health of the endpoint.

TestLossOfVMDoesNotEjectEndpoints fails before.

--- a/failure/failure.go
+++ b/failure/failure.go
@@ -79,6 +79,20 @@
 	return Internal
 }
 
+// PeerLostError is an error of an exchange that failed because another VM was lost, which says nothing about the endpoint
+// to which that VM passed the request on.
+type PeerLostError interface {
+	error
+	// LostPeer returns the name of the VM.
+	LostPeer() string
+}
+
+// IsPeerLost reports whether there is a PeerLostError in err's chain.
+func IsPeerLost(err error) bool {
+	var lost PeerLostError
+	return errors.As(err, &lost)
+}
+
 // Combine returns the overall outcome of two attempts of one request. Done takes
 // precedence over Unknown, and Unknown over NotRun.
 func (o Outcome) Combine(other Outcome) Outcome {
--- a/hop/errors.go
+++ b/hop/errors.go
@@ -77,6 +77,9 @@
 	return e.Cause
 }
 
+// LostPeer implements failure.PeerLostError.
+func (e *ExchangeError) LostPeer() string { return e.VM }
+
 // Refused reports whether the other VM refused the connection: its process does not run.
 func (e *ExchangeError) Refused() bool { return errors.Is(e.Cause, unix.ECONNREFUSED) }
 
--- a/internal/h1/response.go
+++ b/internal/h1/response.go
@@ -13,6 +13,8 @@
 	Length int64
 	// UntilClose is set if the body has neither a length nor chunks, and ends with its connection.
 	UntilClose bool
+	// Explain, if not nil, returns the error to report for a failed read of the body.
+	Explain func(error) error
 
 	body io.Reader
 	// unframed is UntilClose, for the response of this connection's server.
@@ -38,7 +40,11 @@
 		}
 		return n, err
 	}
-	return n, r.ex.pool.bodyError(err)
+	err = r.ex.pool.bodyError(err)
+	if err != nil && r.Explain != nil {
+		err = r.Explain(err)
+	}
+	return n, err
 }
 
 // ReadAll reads the whole body. It returns *LimitError if the body exceeds limit bytes.
--- a/placement/cut_test.go
+++ b/placement/cut_test.go
@@ -44,6 +44,29 @@
 	})
 }
 
+// lostPeer is the loss of a VM that passed a request on.
+type lostPeer struct{}
+
+func (*lostPeer) Error() string    { return "the VM was lost" }
+func (*lostPeer) LostPeer() string { return "other" }
+
+// Endpoints are not ejected because VMs that passed requests on to them were lost.
+func TestLossOfVMDoesNotEjectEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.addPlain("near", "a")
+		f.addPlain("far", "b")
+		for range 3 {
+			failed := brokenAttempt()
+			failed.Cause = &lostPeer{}
+			f.plan(f.plainReq(), relay.AttemptState{Tried: []string{"far"}}).Watch.Finished(failed, false)
+		}
+		if p := f.plan(f.plainReq(), relay.AttemptState{}); p.Serve.ID != "near" {
+			t.Errorf("the next request goes to %s", p.Serve.ID)
+		}
+	})
+}
+
 // Streams are placed although another VM's dials to all engines that decode time out.
 func TestStreamsArePlacedWhileOneVMReachesNoDecoder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -220,7 +220,7 @@
 }
 
 // healthResult returns the result of an attempt for the health tracker. A refusal is a sign of
-// load, not of a failure.
+// load, not of a failure, and the loss of a VM that passed the request on says nothing of the endpoint.
 func healthResult(failed *failure.Request, abandoned bool) health.Result {
 	switch {
 	case abandoned:
@@ -231,6 +231,8 @@
 		return health.Abandoned
 	case failed.Code == failure.EndpointStalled:
 		return health.Unresponsive
+	case failure.IsPeerLost(failed.Cause):
+		return health.Abandoned
 	}
 	return health.Failed
 }
--- a/reach/client.go
+++ b/reach/client.go
@@ -203,9 +203,27 @@
 		}
 	}
 	response, err := c.cfg.Hop.Do(ctx, vm.Peer, e, out)
+	if err == nil {
+		response.Explain = func(err error) error { return c.explainBreak(ctx, vm, e, err) }
+	}
 	return response, c.judge(ctx, vm, e, err), err
 }
 
+// explainBreak returns the error for a response of an endpoint through a VM that has broken off: *LostVMError if the VM was
+// lost. If it responds, it was the endpoint's.
+func (c *Client) explainBreak(ctx context.Context, vm VM, e *directory.Endpoint, err error) error {
+	if ctx.Err() != nil {
+		return err
+	}
+	ready := c.askReady(ctx, vm, e)
+	var reported *hop.Error
+	if ready == nil || errors.As(ready, &reported) || ctx.Err() != nil {
+		return err
+	}
+	c.judgeReady(ctx, vm, e, ready)
+	return &LostVMError{VM: vm.Name, Cause: err}
+}
+
 func (c *Client) askReady(ctx context.Context, vm VM, e *directory.Endpoint) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
--- a/reach/errors.go
+++ b/reach/errors.go
@@ -36,6 +36,24 @@
 // Reason implements failure.Coded.
 func (e *Error) Reason() failure.Reason { return e.Code }
 
+// LostVMError reports that a response broke off because the VM that passed it on was lost.
+type LostVMError struct {
+	VM    string
+	Cause error
+}
+
+// Error implements error.
+func (e *LostVMError) Error() string { return fmt.Sprintf("VM %s was lost: %v", e.VM, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *LostVMError) Unwrap() error { return e.Cause }
+
+// Reason implements failure.Coded.
+func (e *LostVMError) Reason() failure.Reason { return failure.AnswerTruncated }
+
+// LostPeer implements failure.PeerLostError.
+func (e *LostVMError) LostPeer() string { return e.VM }
+
 // countHop counts the requests that were sent through another VM.
 func countHop(v verdict) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`springweir_reach_hops_total{outcome=%q}`, v)).Inc()
--- a/reach/restart_test.go
+++ b/reach/restart_test.go
@@ -1,6 +1,8 @@
 package reach
 
 import (
+	"errors"
+	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -61,3 +63,21 @@
 		}
 	})
 }
+
+// A response that breaks off is the endpoint's fault only if the VM that passed it on is still there.
+func TestBreakThroughLostVMIsNotTheEndpoints(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectRefused}
+	c, d := newTestClient(n, "e")
+	c.cfg.VMs = func() []VM { return []VM{vm("a1", "a")} }
+	response, err := c.Do(t.Context(), d.Snapshot().Endpoint("e"), &h1.Request{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := response.Explain(io.ErrUnexpectedEOF); got != io.ErrUnexpectedEOF {
+		t.Errorf("the VM responds: got %v", got)
+	}
+	n.notReady = map[string]error{"a1": &h1.Error{Cause: &hop.ExchangeError{VM: "a1", Cause: unix.ECONNREFUSED}}}
+	if got := response.Explain(io.ErrUnexpectedEOF); !failure.IsPeerLost(got) || !errors.Is(got, io.ErrUnexpectedEOF) {
+		t.Errorf("the VM has ended: got %v", got)
+	}
+}
