reach: connections that are accepted and carry nothing break a path

Callers of VMs whose connections to the endpoints were accepted, but carried nothing, got 504 or nothing for as long as that lasted, and those of the other VMs 503 (deadline-unreachable) in part, since the requests that hung counted as load of the endpoints.

Cause: a path counted as broken only if connections could not be opened. Whether a connection carries anything was never asked, as such a path looks like an endpoint that takes long.

An endpoint that has not responded to a request for 0.5 s, nor to any other, is now asked for something that it answers at once: a request that names another endpoint. If it does not respond to this VM, but to another one, the path is broken; once two are, all others are asked. It heals when the endpoint responds. Slow and suspended endpoints break no path (TestSlowAndSuspendedEndpointsBreakNoPath). A VM of an earlier build that is asked opens a connection only, so that in a mixed fleet a suspended endpoint may be taken for one that is not reached, until it responds.

--- a/caller/wire/wire.go
+++ b/caller/wire/wire.go
@@ -34,7 +34,8 @@
 	// HeaderImpaired marks a response of a VM that does not reach several endpoints.
 	HeaderImpaired = "Springweir-Impaired"
 	// HeaderConnect marks a request that asks the receiving VM only to open a connection to the
-	// endpoint or, with the value ConnectNotNow, whether it would pass on a request.
+	// endpoint or, with the value ConnectNotNow, whether it would pass on a request, or with
+	// ConnectAndAsk, whether the endpoint responds.
 	HeaderConnect = "Springweir-Connect"
 	// HeaderPrefix starts the name of every header of springweir itself.
 	HeaderPrefix = "Springweir-"
@@ -51,8 +52,11 @@
 	PathConnect = "/springweir/connect"
 )
 
-// ConnectNotNow is the value of HeaderConnect that opens no connection. A VM of an earlier build opens one nonetheless.
-const ConnectNotNow = "not-now"
+// Values of HeaderConnect. With any other a connection is opened, as a VM of an earlier build does with these.
+const (
+	ConnectNotNow = "not-now"
+	ConnectAndAsk = "and-ask"
+)
 
 // DoneEvent is the data of the event that ends a complete stream. A failed stream never has it.
 const DoneEvent = "[DONE]"
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -37,7 +37,7 @@
 		Zone: g.settings.Zone, Direct: p.Direct, VMs: g.otherVMs, Endpoints: g.directory.Snapshot, RequestID: p.RequestID,
 		Hop: g.hopClient, Down: func(e *directory.Endpoint) bool { return g.planner.IsDown(e) },
 	})
-	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, Unreached: g.reach.Unreached, Impaired: g.reach.Impaired, RequestID: p.RequestID, Memory: g.requestMemory})
+	g.hop = hop.NewServer(hop.Config{Directory: g.directory.Snapshot, Forward: g.forward, Connect: g.connect, Check: g.check, Unreached: g.reach.Unreached, Impaired: g.reach.Impaired, RequestID: p.RequestID, Memory: g.requestMemory})
 	if p.SetSender != nil {
 		p.SetSender(g.reach)
 	}
@@ -81,6 +81,14 @@
 	return err
 }
 
+// check checks for another VM whether an endpoint responds.
+func (g *Gateway) check(ctx context.Context, e *directory.Endpoint) error {
+	if g.reach.Unreached(e) {
+		return reach.ErrUnreached
+	}
+	return g.platform.Direct.Check(ctx, e)
+}
+
 // isDown reports whether nothing listens at an endpoint's address any more. The failed connection of
 // this VM alone, which refused reports, does not show it if another VM can be asked.
 func (g *Gateway) isDown(ctx context.Context, e *directory.Endpoint, refused func()) bool {
--- a/hop/client.go
+++ b/hop/client.go
@@ -68,6 +68,11 @@
 	return c.ask(ctx, vm, e, wire.ConnectNotNow)
 }
 
+// Check asks vm whether e responds to it. The errors are those of Do.
+func (c *Client) Check(ctx context.Context, vm Peer, e *directory.Endpoint) error {
+	return c.ask(ctx, vm, e, wire.ConnectAndAsk)
+}
+
 func (c *Client) ask(ctx context.Context, vm Peer, e *directory.Endpoint, connect string) error {
 	out := &h1.Request{Method: http.MethodGet, Target: wire.PathConnect, Host: vm.Address, Header: http.Header{}}
 	response, err := c.exchange(ctx, vm, e, out, http.Header{wire.HeaderConnect: {connect}})
--- a/hop/server.go
+++ b/hop/server.go
@@ -35,6 +35,8 @@
 	Forward func(ctx context.Context, e *directory.Endpoint, out *h1.Request) (*h1.Response, error)
 	// Connect opens a connection to an endpoint.
 	Connect func(ctx context.Context, e *directory.Endpoint) error
+	// Check reports whether an endpoint responds; nil means that it does if Connect succeeds.
+	Check func(ctx context.Context, e *directory.Endpoint) error
 	// Unreached reports whether an endpoint is known not to be reached; nil means that none is.
 	Unreached func(e *directory.Endpoint) bool
 	// Impaired reports whether this VM does not reach several endpoints; nil means that it does.
@@ -51,6 +53,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.Check == nil {
+		c.Check = c.Connect
+	}
 	if c.Unreached == nil {
 		c.Unreached = func(*directory.Endpoint) bool { return false }
 	}
@@ -155,8 +160,10 @@
 	case "":
 	case wire.ConnectNotNow:
 		return s.ready(w, e)
+	case wire.ConnectAndAsk:
+		return connect(ctx, w, e, s.cfg.Check)
 	default:
-		return s.connect(ctx, w, e)
+		return connect(ctx, w, e, s.cfg.Connect)
 	}
 	response, err := s.cfg.Forward(ctx, e, endpointRequest(r, body))
 	if err != nil {
@@ -247,9 +254,9 @@
 	return notRun(failure.EndpointUnreachable, "the endpoint was not reached", err)
 }
 
-// connect serves a connect check.
-func (s *Server) connect(ctx context.Context, w http.ResponseWriter, e *directory.Endpoint) result {
-	if err := s.cfg.Connect(ctx, e); err != nil {
+// connect serves a check of the way to an endpoint.
+func connect(ctx context.Context, w http.ResponseWriter, e *directory.Endpoint, check func(context.Context, *directory.Endpoint) error) result {
+	if err := check(ctx, e); err != nil {
 		return result{failed: connectFailure(err)}
 	}
 	return noContent(w)
--- a/reach/check.go
+++ b/reach/check.go
@@ -46,7 +46,7 @@
 		c.mu.Unlock()
 		var healed atomic.Bool
 		c.checkEach(ctx, due, func(e *directory.Endpoint) {
-			if c.cfg.Direct.Connect(ctx, e) == nil {
+			if c.checkPath(ctx, e) == nil {
 				c.recordOpen(e)
 				healed.Store(true)
 			}
@@ -77,7 +77,14 @@
 			list = append(list, e)
 		}
 	}
-	c.checkEach(ctx, list, func(e *directory.Endpoint) { _ = c.Connect(ctx, e) }) // the outcome is recorded
+	c.mu.Lock()
+	anySilent := c.tracker.AnySilent()
+	c.mu.Unlock()
+	c.checkEach(ctx, list, func(e *directory.Endpoint) {
+		if err := c.Connect(ctx, e); err == nil && anySilent { // the outcome is recorded
+			c.checkResponds(ctx, e)
+		}
+	})
 }
 
 // checkEach calls check for each endpoint, some at a time.
@@ -93,9 +100,28 @@
 	_ = group.Wait()
 }
 
-// recordOpen records that a connection to an endpoint was opened.
+// checkPath checks a broken path.
+func (c *Client) checkPath(ctx context.Context, e *directory.Endpoint) error {
+	if !c.silent(e) {
+		return c.cfg.Direct.Connect(ctx, e)
+	}
+	if err := c.checkEndpoint(ctx, e); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Forget(e)
+	return nil
+}
+
+// recordOpen records that a connection to an endpoint was opened, which says nothing if connections to it carry nothing.
 func (c *Client) recordOpen(e *directory.Endpoint) {
 	c.mu.Lock()
+	if c.tracker.Silent(e) {
+		c.mu.Unlock()
+		c.cfg.Direct.DropIdle(e)
+		return
+	}
 	wasBroken := c.tracker.SetOpen(clock.Now(), e)
 	c.connected[e.Zone] = e
 	n := c.tracker.NumBroken()
--- a/reach/client.go
+++ b/reach/client.go
@@ -46,6 +46,8 @@
 	Sender
 	// Connect opens a connection and keeps it for the next request.
 	Connect(ctx context.Context, e *directory.Endpoint) error
+	// Check reports whether the endpoint responds on a new connection. The error is *h1.Error.
+	Check(ctx context.Context, e *directory.Endpoint) error
 	// HasIdle reports whether there is an open connection that no request uses.
 	HasIdle(e *directory.Endpoint) bool
 	// DropIdle closes the connections that no request uses.
@@ -58,6 +60,8 @@
 	// Ready asks a VM whether it would pass on a request.
 	Ready(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error
 	Connect(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error
+	// Check asks a VM whether an endpoint responds to it.
+	Check(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error
 }
 
 // Config configures a Client.
@@ -124,7 +128,7 @@
 
 // doDirectly sends a request directly or, if no connection can be opened, through another VM.
 func (c *Client) doDirectly(ctx context.Context, e *directory.Endpoint, out *h1.Request) (*h1.Response, error) {
-	response, err := c.cfg.Direct.Do(ctx, e, out)
+	response, err := c.sendWatched(ctx, e, out)
 	if !notConnected(ctx, err) {
 		return response, err
 	}
@@ -146,7 +150,10 @@
 // Unreached reports whether an endpoint is known not to be reached directly, neither by a new nor by an
 // open connection.
 func (c *Client) Unreached(e *directory.Endpoint) bool {
-	return c.broken(e) && !c.cfg.Direct.HasIdle(e)
+	c.mu.Lock()
+	broken, silent := c.tracker.Broken(e), c.tracker.Silent(e)
+	c.mu.Unlock()
+	return broken && (silent || !c.cfg.Direct.HasIdle(e))
 }
 
 // notConnected reports whether a request failed because no connection to the endpoint could be
@@ -333,10 +340,15 @@
 	if !isNew {
 		return
 	}
-	klog.InfoS("reach: endpoint not reached directly", "endpoint", e.ID, "zone", e.Zone, "broken", n, "err", cause)
 	if !errors.Is(cause, unix.ECONNREFUSED) {
 		c.cfg.Direct.DropIdle(e)
 	}
+	c.announceBroken(e, n, cause)
+}
+
+// announceBroken logs that a path is broken, the nth, and has all others checked once several are.
+func (c *Client) announceBroken(e *directory.Endpoint, n int, cause error) {
+	klog.InfoS("reach: endpoint not reached directly", "endpoint", e.ID, "zone", e.Zone, "broken", n, "err", cause)
 	if n == minImpaired {
 		select {
 		case c.sweep <- struct{}{}:
--- a/reach/client_test.go
+++ b/reach/client_test.go
@@ -83,6 +83,10 @@
 	return err
 }
 
+func (n *fakeNetwork) Check(ctx context.Context, e *directory.Endpoint) error {
+	return n.Connect(ctx, e)
+}
+
 func (n *fakeNetwork) HasIdle(*directory.Endpoint) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -103,6 +107,10 @@
 	return h.notReady[vm.Name]
 }
 
+func (h fakeHop) Check(_ context.Context, vm hop.Peer, _ *directory.Endpoint) error {
+	return h.through[vm.Name]
+}
+
 func (h fakeHop) Connect(_ context.Context, vm hop.Peer, e *directory.Endpoint) error {
 	h.record(vm.Name + " connects to " + e.ID)
 	return h.through[vm.Name]
--- a/reach/inquiry_test.go
+++ b/reach/inquiry_test.go
@@ -68,6 +68,10 @@
 	return fakeHop{h.fakeNetwork}.Ready(ctx, vm, e)
 }
 
+func (h slowHop) Check(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error {
+	return fakeHop{h.fakeNetwork}.Check(ctx, vm, e)
+}
+
 func (h slowHop) Connect(ctx context.Context, vm hop.Peer, e *directory.Endpoint) error {
 	if err := wait(ctx, h.hop); err != nil {
 		return &h1.Error{Cause: &hop.ExchangeError{VM: vm.Name, Cause: err}}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -53,6 +53,8 @@
 // path is the broken direct path to one incarnation of an endpoint.
 type path struct {
 	endpoint *directory.Endpoint
+	// silent is set if connections are accepted and carry nothing.
+	silent bool
 	// checkAt is when the path is to be checked next, and interval the time between checks.
 	checkAt  time.Time
 	interval time.Duration
@@ -75,13 +77,15 @@
 	demoted map[string]time.Time
 	// answered holds when VMs last answered, by name.
 	answered map[string]time.Time
+	// heard holds when endpoints last responded to this VM, and checked when that was last checked, by their incarnation.
+	heard, checked map[string]time.Time
 }
 
 // NewTracker returns the tracker of a VM in an availability zone. All paths are open.
 func NewTracker(zone string) *Tracker {
 	return &Tracker{
 		zone: zone, broken: map[string]*path{}, impaired: map[uint32]time.Time{}, avoided: map[avoidance]time.Time{},
-		demoted: map[string]time.Time{}, answered: map[string]time.Time{},
+		demoted: map[string]time.Time{}, answered: map[string]time.Time{}, heard: map[string]time.Time{}, checked: map[string]time.Time{},
 	}
 }
 
@@ -99,6 +103,43 @@
 	return true
 }
 
+// SetSilent records that connections to an endpoint carry nothing. It reports whether that is new.
+func (t *Tracker) SetSilent(now time.Time, e *directory.Endpoint) bool {
+	isNew := t.SetBroken(now, e)
+	t.broken[e.Incarnation()].silent = true
+	return isNew
+}
+
+// Silent reports whether connections to an endpoint carry nothing.
+func (t *Tracker) Silent(e *directory.Endpoint) bool {
+	p := t.broken[e.Incarnation()]
+	return p != nil && p.silent
+}
+
+// AnySilent reports whether connections to any endpoint carry nothing.
+func (t *Tracker) AnySilent() bool {
+	for _, p := range t.broken {
+		if p.silent {
+			return true
+		}
+	}
+	return false
+}
+
+// SetHeard records that an endpoint has responded to this VM.
+func (t *Tracker) SetHeard(now time.Time, e *directory.Endpoint) { t.heard[e.Incarnation()] = now }
+
+// MayCheck reports whether to check now if an endpoint responds, and records that: not if it has responded within
+// silenceLimit, nor if it was checked within silenceCheckInterval.
+func (t *Tracker) MayCheck(now time.Time, e *directory.Endpoint) bool {
+	incarnation := e.Incarnation()
+	if t.Broken(e) || now.Sub(t.heard[incarnation]) < silenceLimit || now.Sub(t.checked[incarnation]) < silenceCheckInterval {
+		return false
+	}
+	t.checked[incarnation] = now
+	return true
+}
+
 // SetOpen records that the direct path to an endpoint is open. It reports whether it was broken; the
 // others of its zone may have healed too and are checked at once.
 func (t *Tracker) SetOpen(now time.Time, e *directory.Endpoint) bool {
@@ -175,6 +216,16 @@
 			delete(t.demoted, vm)
 		}
 	}
+	for incarnation, at := range t.heard {
+		if now.Sub(at) >= silenceLimit {
+			delete(t.heard, incarnation)
+		}
+	}
+	for incarnation, at := range t.checked {
+		if now.Sub(at) >= silenceCheckInterval {
+			delete(t.checked, incarnation)
+		}
+	}
 	for vm, at := range t.answered {
 		if now.Sub(at) >= answeredTTL {
 			delete(t.answered, vm)
