reach: a VM to which the way is slow helps as well

Since VMs are asked whether they would pass a request on, and given up after 0.1 s, callers of VMs that were cut off got 503 if the way to all VMs that could help took 0.3 s there and back; before that they were served.

The question costs nothing, so a VM that has not answered in 0.1 s is waited for while the next one is asked, 0.6 s at most in all. The first one that would pass the request on takes it. A suspended VM never does.

The routes of this soak have an objective of 1.5 s, as with 0.3 s streams are rightly refused as late there. TestSlowVMHelps fails before.

--- a/reach/client.go
+++ b/reach/client.go
@@ -26,9 +26,6 @@
 	// inquiryLimit is the time after which a request asks no further VM, once maxHops were asked or one has had its
 	// say. A VM that does not reach the endpoint either may take the timeout of a connection to say so.
 	inquiryLimit = 100 * time.Millisecond
-	// readyTimeout bounds the question whether a VM would pass on a request. It is above the stalls of a VM whose share of
-	// a processor is used up.
-	readyTimeout = 100 * time.Millisecond
 	// inquiryPatience is how long an inquiry waits for VMs whose verdict may differ from that of others. It
 	// is several round trips within a region.
 	inquiryPatience = 10 * time.Millisecond
@@ -173,47 +170,34 @@
 	if c.recentlyUnreached(e) {
 		return nil, notReached, nil
 	}
-	var all verdicts
-	start, asked := clock.Now(), 0
-	vms := c.cfg.VMs()
-	for _, vm := range c.choose(e, vms, len(vms)) {
-		late := clock.Since(start) >= inquiryLimit
-		if all.said == maxHops || late && (all.answered() || asked >= maxHops) {
-			break
-		}
-		asked++
-		response, v, err := c.throughVM(ctx, vm, e, out)
-		if !v.final() {
-			all.add(v)
-			continue
+	request := c.cfg.RequestID(out.Header)
+	s := c.newSearch(ctx, e)
+	defer s.stop()
+	for {
+		vm, v, err := s.next()
+		if v == responded {
+			var response *h1.Response
+			if response, err = c.cfg.Hop.Do(ctx, vm.Peer, e, out); err == nil {
+				response.Explain = func(err error) error { return c.explainBreak(ctx, vm, e, err) }
+			}
+			if v = c.judge(ctx, vm, e, err); !v.final() {
+				s.verdicts.add(v)
+				continue
+			}
+			countHop(v)
+			klog.InfoS("reach: sent through another VM", "request", request, "endpoint", e.ID, "vm", vm.Name, "outcome", v, "err", err)
+			return response, v, exchangeError(vm, err)
 		}
 		countHop(v)
-		klog.InfoS("reach: sent through another VM", "request", c.cfg.RequestID(out.Header), "endpoint", e.ID, "vm", vm.Name, "outcome", v, "err", err)
-		return response, v, exchangeError(vm, err)
-	}
-	v := all.sum()
-	countHop(v)
-	c.logUnhelped(c.cfg.RequestID(out.Header), e, v, asked)
-	if v == notReached {
-		c.recordUnreached(e)
-	}
-	return nil, v, nil
-}
-
-// throughVM sends a request through a VM that has shown that it is responsive. What is sent to one that is suspended may
-// run any time later, and is lost until then.
-func (c *Client) throughVM(ctx context.Context, vm VM, e *directory.Endpoint, out *h1.Request) (*h1.Response, verdict, error) {
-	if !c.justAnswered(vm) {
-		err := c.askReady(ctx, vm, e)
-		if v := c.judgeReady(ctx, vm, e, err); v != responded {
-			return nil, v, err
+		if v.final() {
+			return nil, v, exchangeError(vm, err)
 		}
+		c.logUnhelped(request, e, v, s.asked)
+		if v == notReached {
+			c.recordUnreached(e)
+		}
+		return nil, v, nil
 	}
-	response, err := c.cfg.Hop.Do(ctx, vm.Peer, e, out)
-	if err == nil {
-		response.Explain = func(err error) error { return c.explainBreak(ctx, vm, e, err) }
-	}
-	return response, c.judge(ctx, vm, e, err), err
 }
 
 // explainBreak returns the error for a response of an endpoint through a VM that has broken off: *LostVMError if the VM was
@@ -222,7 +206,9 @@
 	if ctx.Err() != nil {
 		return err
 	}
-	ready := c.askReady(ctx, vm, e)
+	readyCtx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	ready := c.cfg.Hop.Ready(readyCtx, vm.Peer, e)
 	var reported *hop.Error
 	if ready == nil || errors.As(ready, &reported) || ctx.Err() != nil {
 		return err
@@ -231,12 +217,6 @@
 	return &LostVMError{VM: vm.Name, Cause: err}
 }
 
-func (c *Client) askReady(ctx context.Context, vm VM, e *directory.Endpoint) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	return c.cfg.Hop.Ready(ctx, vm.Peer, e)
-}
-
 // logUnhelped logs that no other VM reached an endpoint for a request, and why VMs were not asked.
 func (c *Client) logUnhelped(request string, e *directory.Endpoint, v verdict, asked int) {
 	vms := c.cfg.VMs()
