reach: a VM that resets connections as it ends is asked again

Cause: the same as with refused connections, in another form: a process that is just ending resets a connection, and that was taken for a VM that can't be reached, which is left out for 1 s ('asked 0, demoted 2, avoided 3' in the log).

Only a VM to which a connection times out is left out now, as asking it costs time. One that refuses or resets is asked after the others.

TestRestartedVMHelpsAgain/its_process_was_ending fails before.

--- a/hop/errors.go
+++ b/hop/errors.go
@@ -71,7 +71,7 @@
 // Unwrap returns the cause, but not a refused connection, which would be mistaken for the
 // endpoint's.
 func (e *ExchangeError) Unwrap() error {
-	if e.Refused() {
+	if errors.Is(e.Cause, unix.ECONNREFUSED) {
 		return nil
 	}
 	return e.Cause
@@ -80,9 +80,6 @@
 // LostPeer implements failure.PeerLostError.
 func (e *ExchangeError) LostPeer() string { return e.VM }
 
-// Refused reports whether the other VM refused the connection: its process does not run.
-func (e *ExchangeError) Refused() bool { return errors.Is(e.Cause, unix.ECONNREFUSED) }
-
 // StatusError is a response to a connect check that is neither a success nor a failure in the format
 // of a Server.
 type StatusError struct{ Status int }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -25,8 +25,8 @@
 	// allUnreachedTTL is how long no VM is asked for an endpoint after those that were asked did not
 	// reach it.
 	allUnreachedTTL = 300 * time.Millisecond
-	// unresponsiveTTL is how long a VM that could not be reached itself is not asked, or after the others if it refused the
-	// connection: its process may start again any moment.
+	// unresponsiveTTL is how long a VM that could not be reached itself is not asked, or after the others if it refused or
+	// reset the connection.
 	unresponsiveTTL = time.Second
 	// answeredTTL is how long a VM that has answered is not taken for silent.
 	answeredTTL = loadshare.MemberTimeout
--- a/reach/restart_test.go
+++ b/reach/restart_test.go
@@ -21,8 +21,9 @@
 // A VM that did not help as it stopped helps again once it has restarted.
 func TestRestartedVMHelpsAgain(t *testing.T) {
 	for name, stopped := range map[string]error{
-		"it was about to stop":  reported(failure.Stopping, failure.NotRun),
-		"its process had ended": &h1.Error{Cause: &hop.ExchangeError{VM: "a1", Cause: unix.ECONNREFUSED}},
+		"it was about to stop":   reported(failure.Stopping, failure.NotRun),
+		"its process was ending": &h1.Error{Cause: &hop.ExchangeError{VM: "a1", Cause: unix.ECONNRESET}},
+		"its process had ended":  &h1.Error{Cause: &hop.ExchangeError{VM: "a1", Cause: unix.ECONNREFUSED}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := &fakeNetwork{direct: errConnectRefused, through: map[string]error{"a1": stopped}}
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 
 	"github.com/springweir/springweir/directory"
 	"github.com/springweir/springweir/failure"
@@ -101,14 +102,19 @@
 	return noVM
 }
 
-// judgeLost records that a VM was not reached.
+// judgeLost records that a VM was not reached. One that refuses or resets connections costs nothing to ask again, and its
+// process may start any moment.
 func (c *Client) judgeLost(vm VM, err error) {
-	var toVM *hop.ExchangeError
-	if errors.As(err, &toVM) && toVM.Refused() {
-		c.demote(vm, unresponsiveTTL, "the VM refused the connection")
+	if isTimeout(err) {
+		c.avoid(vm, nil, unresponsiveTTL, "the VM is not reached")
 		return
 	}
-	c.avoid(vm, nil, unresponsiveTTL, "the VM is not reached")
+	c.demote(vm, unresponsiveTTL, "the VM refused or reset the connection")
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // judgeReady classifies the outcome of the question whether a VM would pass on a request, for which responded means that
