--- a/reach/reach.go
+++ b/reach/reach.go
@@ -7,6 +7,7 @@
 package reach
 
 import (
+	"maps"
 	"time"
 
 	"github.com/springweir/springweir/directory"
@@ -201,36 +202,12 @@
 			delete(t.broken, incarnation)
 		}
 	}
-	for key, until := range t.avoided {
-		if !now.Before(until) {
-			delete(t.avoided, key)
-		}
-	}
-	for hash, at := range t.impaired {
-		if now.Sub(at) >= impairedTTL {
-			delete(t.impaired, hash)
-		}
-	}
-	for vm, until := range t.demoted {
-		if !now.Before(until) {
-			delete(t.demoted, vm)
-		}
-	}
-	for incarnation, at := range t.heard {
-		if now.Sub(at) >= silenceLimit {
-			delete(t.heard, incarnation)
-		}
-	}
-	for incarnation, at := range t.checked {
-		if now.Sub(at) >= silenceCheckInterval {
-			delete(t.checked, incarnation)
-		}
-	}
-	for vm, at := range t.answered {
-		if now.Sub(at) >= answeredTTL {
-			delete(t.answered, vm)
-		}
-	}
+	maps.DeleteFunc(t.avoided, func(_ avoidance, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.demoted, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.impaired, func(_ uint32, at time.Time) bool { return now.Sub(at) >= impairedTTL })
+	maps.DeleteFunc(t.answered, func(_ string, at time.Time) bool { return now.Sub(at) >= answeredTTL })
+	maps.DeleteFunc(t.heard, func(_ string, at time.Time) bool { return now.Sub(at) >= silenceLimit })
+	maps.DeleteFunc(t.checked, func(_ string, at time.Time) bool { return now.Sub(at) >= silenceCheckInterval })
 }
 
 // ReceiveImpaired records a report of VMs that are impaired.
