--- a/reach/check.go
+++ b/reach/check.go
@@ -110,7 +110,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tracker.Forget(e)
+	c.tracker.SetResponds(e)
 	return nil
 }
 
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -111,6 +111,13 @@
 	return isNew
 }
 
+// SetResponds records that an endpoint responds, so that an open connection shows that its path is open.
+func (t *Tracker) SetResponds(e *directory.Endpoint) {
+	if p := t.broken[e.Incarnation()]; p != nil {
+		p.silent = false
+	}
+}
+
 // Silent reports whether connections to an endpoint carry nothing.
 func (t *Tracker) Silent(e *directory.Endpoint) bool {
 	p := t.broken[e.Incarnation()]
@@ -217,8 +224,7 @@
 	}
 }
 
-// Demote records that a VM is asked after others for a time. It refuses at once what it is asked meanwhile, but may be
-// back any time.
+// Demote records that a VM is asked after others for a time: it did not help, but may any moment.
 func (t *Tracker) Demote(now time.Time, vm string, ttl time.Duration) { t.demoted[vm] = now.Add(ttl) }
 
 // SetHelped records that a VM has reached an endpoint.
--- a/reach/silence.go
+++ b/reach/silence.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/springweir/springweir/directory"
+	"github.com/springweir/springweir/failure"
 	"github.com/springweir/springweir/internal/clock"
 	"github.com/springweir/springweir/internal/h1"
 )
@@ -31,6 +32,9 @@
 // Error implements error.
 func (*silentError) Error() string { return "connections are accepted and carry nothing" }
 
+// Reason implements failure.Coded.
+func (*silentError) Reason() failure.Reason { return failure.EndpointUnreachable }
+
 // sendWatched sends a request directly, and checks the path if there is no response for silenceLimit.
 func (c *Client) sendWatched(ctx context.Context, e *directory.Endpoint, out *h1.Request) (*h1.Response, error) {
 	watch := time.AfterFunc(silenceLimit, func() { c.checkOverdue(e) })
