reach: a VM that does not know an endpoint is passed over

Another VM is asked. One that knows that the endpoint drains still refuses. TestVMThatDoesNotKnowTheEndpointIsPassedOver fails before.

--- a/reach/impaired_test.go
+++ b/reach/impaired_test.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// A VM that has just started, and does not know the endpoint yet, does not keep a request from one that does.
+func TestVMThatDoesNotKnowTheEndpointIsPassedOver(t *testing.T) {
+	n := &fakeNetwork{direct: errConnectTimeout, through: map[string]error{"a1": reported(failure.EndpointUnknown, failure.NotRun)}}
+	c, d := newTestClient(n, "e")
+	if _, err := c.Do(t.Context(), d.Snapshot().Endpoint("e"), &h1.Request{}); err != nil {
+		t.Error(err)
+	}
+}
+
 // What VMs that are cut off say of an endpoint counts for nothing, also if their datagrams do not arrive.
 func TestCutOffVMsThatAreNotHeardAreNoEvidence(t *testing.T) {
 	n := &fakeNetwork{direct: errConnectTimeout, through: map[string]error{}}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -35,6 +35,8 @@
 	justAnsweredTTL = 20 * time.Millisecond
 	// busyTTL is how long a VM that passes on too many requests is not asked.
 	busyTTL = 100 * time.Millisecond
+	// unknownTTL is how long a VM that does not know an endpoint, as it has just started, is not asked for it.
+	unknownTTL = 100 * time.Millisecond
 	// stoppingTTL is how long a VM that is about to stop is asked after the others. By then it has stopped.
 	stoppingTTL = 10 * time.Second
 	// minCheckInterval is the time until a broken path is checked for the first time. It doubles with
--- a/reach/verdict.go
+++ b/reach/verdict.go
@@ -152,6 +152,9 @@
 	case reported.Code == failure.Stopping:
 		c.demote(vm, stoppingTTL, "the VM is about to stop")
 		return abstains
+	case reported.Code == failure.EndpointUnknown:
+		c.avoid(vm, e, unknownTTL, "the VM does not know the endpoint")
+		return abstains
 	case reported.Code != failure.EndpointUnreachable:
 		return refused
 	}
